--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Installs what is missing and builds a preset (default: release).
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+preset="${1:-release}"
+scripts/install.sh
+cmake --preset "$preset" >/dev/null
+cmake --build --preset "$preset"
--- /dev/null
+++ b/src/control.hpp
@@ -0,0 +1,51 @@
+#ifndef BRIARHUB_CONTROL_HPP
+#define BRIARHUB_CONTROL_HPP
+
+/// The control thread: platform, peers, control stream, claims.
+
+#include "admin_messages.hpp"
+#include "mailbox.hpp"
+#include "metrics.hpp"
+#include "settings.hpp"
+#include "thread_messages.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace briarhub
+{
+
+/// Runs on the one thread that runs `io`.
+class control
+{
+public:
+    /// Binds the peer port at once; throws boost::system::system_error.
+    control(
+        boost::asio::io_context& io,
+        settings const& options,
+        member const& self,
+        metrics_registry& metrics,
+        mailbox<traffic_message>& to_traffic);
+    ~control();
+    control(control const&) = delete;
+    control& operator=(control const&) = delete;
+
+    void start();
+
+    void receive(control_message&& message);
+    void receive(admin_query&& query);
+
+    /// Graceful shutdown: stops the traffic thread, then appends the records
+    /// that remain and `leave`; `done` is called at the end.
+    void stop(std::function<void()> done);
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/http_guard.hpp
@@ -0,0 +1,33 @@
+#ifndef BRIARHUB_HTTP_GUARD_HPP
+#define BRIARHUB_HTTP_GUARD_HPP
+
+/// Refuses request heads that are malformed, oversized or ambiguous, before
+/// and after the HTTP parser sees them.
+
+#include "result_code.hpp"
+
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+
+#include <cstdint>
+#include <string_view>
+
+namespace briarhub
+{
+
+inline constexpr std::uint32_t max_head_bytes = 16 * 1024;
+inline constexpr std::uint64_t max_body_bytes = 1024 * 1024;
+
+/// Checks the raw bytes of a head up to and including the empty line: bare
+/// LF, obsolete line folding, NUL and control characters, space before a
+/// colon. Beast's parser accepts some of these.
+result_code check_raw_head(std::string_view head);
+
+/// Checks a parsed head: both length fields, repeated `Content-Length`,
+/// `Transfer-Encoding` other than one "chunked", repeated unique fields, the
+/// form of the target, HTTP version, `Host`.
+result_code check_head(boost::beast::http::request_header<> const& head);
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/metrics.cpp
@@ -0,0 +1,194 @@
+#include "metrics.hpp"
+
+#include <fmt/format.h>
+
+#include <array>
+#include <iterator>
+
+namespace briarhub
+{
+namespace
+{
+
+namespace acc = boost::accumulators;
+
+constexpr std::array<double, 3> quantile_probabilities{0.5, 0.9, 0.99};
+
+std::string escape_label(std::string_view value)
+{
+    std::string escaped;
+    for (char const c : value)
+    {
+        if (c == '"' || c == '\\')
+        {
+            escaped += '\\';
+        }
+        if (c == '\n')
+        {
+            escaped += "\\n";
+            continue;
+        }
+        escaped += c;
+    }
+    return escaped;
+}
+
+/// Labels as they stand between the braces of a series.
+std::string format_labels(metric_labels const& labels)
+{
+    std::string text;
+    for (auto const& [name, value] : labels)
+    {
+        if (!text.empty())
+        {
+            text += ',';
+        }
+        text += fmt::format("{}=\"{}\"", name, escape_label(value));
+    }
+    return text;
+}
+
+template <class Families>
+auto& find_or_create(
+    Families& families, std::string_view name, metric_labels const& labels)
+{
+    auto family = families.find(name);
+    if (family == families.end())
+    {
+        family =
+            families
+                .emplace(std::string{name}, typename Families::mapped_type{})
+                .first;
+    }
+    using series = typename Families::mapped_type::mapped_type::element_type;
+    auto& slot = family->second[format_labels(labels)];
+    if (!slot)
+    {
+        slot = std::make_unique<series>();
+    }
+    return *slot;
+}
+
+std::string with_braces(std::string const& labels)
+{
+    return labels.empty() ? std::string{} : '{' + labels + '}';
+}
+
+template <class Families>
+void append_scalars(
+    std::string& text, Families const& families, std::string_view type)
+{
+    for (auto const& [name, family] : families)
+    {
+        fmt::format_to(std::back_inserter(text), "# TYPE {} {}\n", name, type);
+        for (auto const& [labels, series] : family)
+        {
+            fmt::format_to(
+                std::back_inserter(text),
+                "{}{} {}\n",
+                name,
+                with_braces(labels),
+                series->value());
+        }
+    }
+}
+
+void append_summary(
+    std::string& text,
+    std::string const& name,
+    std::string const& labels,
+    latency_summary::values const& values)
+{
+    std::string const separator = labels.empty() ? "" : ",";
+    std::array const quantiles{values.m_p50, values.m_p90, values.m_p99};
+    for (std::size_t i = 0; i < quantiles.size(); ++i)
+    {
+        fmt::format_to(
+            std::back_inserter(text),
+            "{}{{{}{}quantile=\"{}\"}} {}\n",
+            name,
+            labels,
+            separator,
+            quantile_probabilities[i],
+            quantiles[i].count());
+    }
+    fmt::format_to(
+        std::back_inserter(text),
+        "{0}_sum{1} {2}\n{0}_count{1} {3}\n{0}_max{1} {4}\n",
+        name,
+        with_braces(labels),
+        values.m_sum.count(),
+        values.m_count,
+        values.m_max.count());
+}
+
+} // namespace
+
+latency_summary::latency_summary()
+    : m_seconds(acc::extended_p_square_probabilities = quantile_probabilities)
+{
+}
+
+void latency_summary::record(std::chrono::nanoseconds value)
+{
+    std::scoped_lock const lock{m_mutex};
+    m_seconds(std::chrono::duration<double>(value).count());
+}
+
+latency_summary::values latency_summary::read() const
+{
+    using seconds = std::chrono::duration<double>;
+    std::scoped_lock const lock{m_mutex};
+    values result;
+    result.m_count = acc::count(m_seconds);
+    if (result.m_count == 0)
+    {
+        return result;
+    }
+    result.m_sum = seconds{acc::sum(m_seconds)};
+    result.m_max = seconds{acc::max(m_seconds)};
+    result.m_p50 = seconds{acc::extended_p_square(m_seconds)[0]};
+    result.m_p90 = seconds{acc::extended_p_square(m_seconds)[1]};
+    result.m_p99 = seconds{acc::extended_p_square(m_seconds)[2]};
+    return result;
+}
+
+counter& metrics_registry::get_counter(
+    std::string_view name, metric_labels const& labels)
+{
+    std::scoped_lock const lock{m_mutex};
+    return find_or_create(m_counters, name, labels);
+}
+
+gauge&
+metrics_registry::get_gauge(std::string_view name, metric_labels const& labels)
+{
+    std::scoped_lock const lock{m_mutex};
+    return find_or_create(m_gauges, name, labels);
+}
+
+latency_summary& metrics_registry::get_latency(
+    std::string_view name, metric_labels const& labels)
+{
+    std::scoped_lock const lock{m_mutex};
+    return find_or_create(m_latencies, name, labels);
+}
+
+std::string metrics_registry::to_text() const
+{
+    std::scoped_lock const lock{m_mutex};
+    std::string text;
+    append_scalars(text, m_counters, "counter");
+    append_scalars(text, m_gauges, "gauge");
+    for (auto const& [name, summaries] : m_latencies)
+    {
+        fmt::format_to(std::back_inserter(text), "# TYPE {} summary\n", name);
+        for (auto const& [labels, series] : summaries)
+        {
+            append_summary(text, name, labels, series->read());
+        }
+    }
+    return text;
+}
+
+} // namespace briarhub
--- /dev/null
+++ b/src/metrics.hpp
@@ -0,0 +1,128 @@
+#ifndef BRIARHUB_METRICS_HPP
+#define BRIARHUB_METRICS_HPP
+
+/// Counters, gauges and latency quantiles in the Prometheus text format.
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace briarhub
+{
+
+/// Label names and values of one time series.
+using metric_labels = std::vector<std::pair<std::string, std::string>>;
+
+/// A monotonic count. Any thread may add to it.
+class counter
+{
+public:
+    void add(std::uint64_t amount = 1) noexcept
+    {
+        m_value.fetch_add(amount, std::memory_order_relaxed);
+    }
+
+    [[nodiscard]] std::uint64_t value() const noexcept
+    {
+        return m_value.load(std::memory_order_relaxed);
+    }
+
+private:
+    std::atomic<std::uint64_t> m_value{0};
+};
+
+/// A value that goes up and down. Any thread may set it.
+class gauge
+{
+public:
+    void set(double value) noexcept
+    {
+        m_value.store(value, std::memory_order_relaxed);
+    }
+
+    [[nodiscard]] double value() const noexcept
+    {
+        return m_value.load(std::memory_order_relaxed);
+    }
+
+private:
+    std::atomic<double> m_value{0.0};
+};
+
+/// Quantiles of durations since the start of the process.
+class latency_summary
+{
+public:
+    latency_summary();
+
+    void record(std::chrono::nanoseconds value);
+
+    struct values
+    {
+        std::uint64_t m_count = 0;
+        std::chrono::duration<double> m_sum{};
+        std::chrono::duration<double> m_p50{};
+        std::chrono::duration<double> m_p90{};
+        std::chrono::duration<double> m_p99{};
+        std::chrono::duration<double> m_max{};
+    };
+
+    [[nodiscard]] values read() const;
+
+private:
+    using accumulator = boost::accumulators::accumulator_set<
+        double,
+        boost::accumulators::stats<
+            boost::accumulators::tag::count,
+            boost::accumulators::tag::sum,
+            boost::accumulators::tag::max,
+            boost::accumulators::tag::extended_p_square>>;
+
+    mutable std::mutex m_mutex;
+    accumulator m_seconds;
+};
+
+/// Owns all time series of a process. References stay valid for its lifetime,
+/// so that hot paths look a series up once.
+class metrics_registry
+{
+public:
+    counter&
+    get_counter(std::string_view name, metric_labels const& labels = {});
+    gauge& get_gauge(std::string_view name, metric_labels const& labels = {});
+    latency_summary&
+    get_latency(std::string_view name, metric_labels const& labels = {});
+
+    /// All series in the Prometheus text exposition format.
+    [[nodiscard]] std::string to_text() const;
+
+private:
+    template <class Series>
+    using family = std::map<std::string, std::unique_ptr<Series>>;
+
+    template <class Series>
+    using families = std::map<std::string, family<Series>, std::less<>>;
+
+    mutable std::mutex m_mutex;
+    families<counter> m_counters;
+    families<gauge> m_gauges;
+    families<latency_summary> m_latencies;
+};
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/peer_link.hpp
@@ -0,0 +1,87 @@
+#ifndef BRIARHUB_PEER_LINK_HPP
+#define BRIARHUB_PEER_LINK_HPP
+
+/// Requests between entry processes: protobuf messages on nghttp2 cleartext
+/// streams.
+
+#include "result_code.hpp"
+#include "types.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace briarhub
+{
+
+/// Larger messages are refused on both sides.
+inline constexpr std::size_t max_peer_message_bytes = 64 * 1024 * 1024;
+
+/// Answers a request: gets the path and the serialized message, returns the
+/// serialized answer, or nullopt for an unknown path or a bad message.
+using peer_handler = std::function<std::optional<std::string>(
+    std::string_view path, std::string_view message)>;
+
+/// Accepts peers' connections and answers their requests.
+class peer_server
+{
+public:
+    peer_server(
+        boost::asio::io_context& io,
+        endpoint_address const& listen,
+        peer_handler handler);
+    ~peer_server();
+    peer_server(peer_server const&) = delete;
+    peer_server& operator=(peer_server const&) = delete;
+
+    [[nodiscard]] std::uint16_t port() const;
+    void stop();
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+/// Sends requests to peers, with one connection for each peer in use.
+class peer_client
+{
+public:
+    explicit peer_client(boost::asio::io_context& io);
+    ~peer_client();
+    peer_client(peer_client const&) = delete;
+    peer_client& operator=(peer_client const&) = delete;
+
+    /// The serialized answer, or `peer_unreachable` after `timeout`.
+    boost::asio::awaitable<std::variant<std::string, result_code>> request(
+        endpoint_address peer,
+        std::string path,
+        std::string message,
+        std::chrono::milliseconds timeout);
+
+    /// Closes connections that were not used for `idle`.
+    void close_idle(time_point now, duration idle);
+
+    struct traffic_totals
+    {
+        std::uint64_t m_bytes_sent = 0;
+        std::uint64_t m_bytes_received = 0;
+        std::uint64_t m_requests = 0;
+    };
+    [[nodiscard]] traffic_totals totals() const;
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/routing.hpp
@@ -0,0 +1,37 @@
+#ifndef BRIARHUB_ROUTING_HPP
+#define BRIARHUB_ROUTING_HPP
+
+/// Maps method and path to a work class; the longest path prefix wins.
+
+#include "config.hpp"
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace briarhub
+{
+
+class route_table
+{
+public:
+    void assign(config const& configuration);
+    void put(work_class_config const& work_class);
+    void remove(work_class_name const& name);
+
+    /// A prefix matches whole path segments. The query is ignored.
+    [[nodiscard]] work_class_config const*
+    find(std::string_view method, std::string_view target) const;
+
+    [[nodiscard]] std::size_t size() const;
+
+private:
+    using by_prefix = std::map<std::string, work_class_config, std::less<>>;
+
+    std::map<std::string, by_prefix, std::less<>> m_by_method;
+    std::map<work_class_name, std::pair<std::string, std::string>> m_places;
+};
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/suspect_requests.hpp
@@ -0,0 +1,61 @@
+#ifndef BRIARHUB_SUSPECT_REQUESTS_HPP
+#define BRIARHUB_SUSPECT_REQUESTS_HPP
+
+/// Remembers requests that were in flight when an upstream crashed, so that a
+/// request that crashes upstreams is not given to more of them. Pure: no I/O,
+/// reads no clock.
+
+#include "types.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace briarhub
+{
+
+/// Crashes after which a request is refused.
+inline constexpr std::uint32_t suspect_crash_limit = 2;
+
+/// A suspect is forgotten this long after its last crash.
+inline constexpr std::chrono::minutes suspect_retention{10};
+
+class suspect_requests
+{
+public:
+    /// The request was in flight at an upstream crash seen by this VM.
+    void report_crash(time_point now, std::string const& digest);
+
+    /// Suspects that a peer reported.
+    void receive(time_point now, std::span<suspect_request const> items);
+
+    [[nodiscard]] bool
+    is_refused(time_point now, std::string const& digest) const;
+
+    /// True once the request was in flight at any crash: further crashes are
+    /// no evidence against the upstream.
+    [[nodiscard]] bool
+    is_suspect(time_point now, std::string const& digest) const;
+
+    /// Own news since the last call.
+    std::vector<suspect_request> take_news(time_point now);
+
+private:
+    struct entry
+    {
+        std::uint32_t m_crashes = 0;
+        time_point m_last_crash{};
+        bool m_is_news = false;
+    };
+
+    void forget_old(time_point now);
+
+    std::map<std::string, entry> m_entries;
+};
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/thread_messages.hpp
@@ -0,0 +1,129 @@
+#ifndef BRIARHUB_THREAD_MESSAGES_HPP
+#define BRIARHUB_THREAD_MESSAGES_HPP
+
+/// Messages between the traffic and the control thread.
+
+#include "claim_writer.hpp"
+#include "config.hpp"
+#include "rate_share.hpp"
+#include "types.hpp"
+
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace briarhub
+{
+
+// To the traffic thread.
+
+/// Either the whole configuration or operations on the previous one.
+struct config_update
+{
+    config_version m_version = 0;
+    std::unique_ptr<config> m_whole;
+    std::vector<config_operation> m_operations;
+};
+
+struct upstreams_update
+{
+    std::vector<upstream> m_upstreams;
+};
+
+struct members_update
+{
+    control_version m_version = 0;
+    std::vector<member> m_members;
+};
+
+struct stable_update
+{
+    control_version m_version = 0;
+};
+
+/// Requests may be admitted and sent until this time.
+struct freshness_update
+{
+    time_point m_valid_until{};
+};
+
+/// Claim times from which on all claims are known; claims can be made.
+struct claims_covered
+{
+    wall_time m_since{};
+    bool m_available = false;
+};
+
+struct peer_evidence
+{
+    member m_reporter;
+    std::vector<evidence> m_items;
+};
+
+struct peer_suspects
+{
+    std::vector<suspect_request> m_items;
+};
+
+/// Stops admission and ends the thread when no request is in flight.
+struct stop_traffic
+{
+};
+
+using traffic_message = std::variant<
+    config_update,
+    upstreams_update,
+    members_update,
+    stable_update,
+    freshness_update,
+    claims_covered,
+    claim_decision,
+    addressed_loan_message,
+    peer_evidence,
+    peer_suspects,
+    stop_traffic>;
+
+// To the control thread.
+
+struct claim_request
+{
+    request_ticket m_ticket = 0;
+    claim_name m_name;
+    std::string m_request_digest;
+    time_point m_deadline{};
+};
+
+struct claim_cancel
+{
+    request_ticket m_ticket = 0;
+};
+
+struct evidence_report
+{
+    std::vector<evidence> m_items;
+};
+
+struct suspect_report
+{
+    std::vector<suspect_request> m_items;
+};
+
+/// The traffic thread has no request in flight and has ended.
+struct traffic_stopped
+{
+};
+
+using control_message = std::variant<
+    claim_request,
+    claim_cancel,
+    claim_outcome,
+    claim_release,
+    addressed_loan_message,
+    evidence_report,
+    suspect_report,
+    traffic_stopped>;
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/traffic.hpp
@@ -0,0 +1,51 @@
+#ifndef BRIARHUB_TRAFFIC_HPP
+#define BRIARHUB_TRAFFIC_HPP
+
+/// The traffic thread: caller sessions, filter chain, upstream connections.
+
+#include "admin_messages.hpp"
+#include "mailbox.hpp"
+#include "metrics.hpp"
+#include "settings.hpp"
+#include "thread_messages.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <memory>
+
+namespace briarhub
+{
+
+/// Runs on the one thread that runs `io`. Refuses requests with `starting`
+/// until it has a configuration and a valid freshness.
+class traffic
+{
+public:
+    /// Binds the caller port at once; throws boost::system::system_error.
+    traffic(
+        boost::asio::io_context& io,
+        settings const& options,
+        member const& self,
+        metrics_registry& metrics,
+        mailbox<control_message>& to_control);
+    ~traffic();
+    traffic(traffic const&) = delete;
+    traffic& operator=(traffic const&) = delete;
+
+    /// Starts to accept callers.
+    void start();
+
+    void receive(traffic_message&& message);
+    void receive(admin_query&& query);
+
+    [[nodiscard]] std::uint16_t port() const;
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/tests/base_test.cpp
@@ -0,0 +1,76 @@
+#include "clock.hpp"
+#include "mailbox.hpp"
+#include "metrics.hpp"
+#include "result_code.hpp"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <vector>
+
+using namespace briarhub;
+using namespace std::chrono_literals;
+
+TEST_CASE("every result code has one entry and entries are in numeric order")
+{
+    // describe() uses a binary search and would return a wrong entry.
+    auto const results = all_results();
+    for (std::size_t i = 1; i < results.size(); ++i)
+    {
+        CHECK(results[i - 1].m_code < results[i].m_code);
+    }
+    CHECK(describe(result_code::over_rate).m_name == "over_rate");
+}
+
+TEST_CASE("timers follow the paused clock")
+{
+    runtime_clock::pause();
+    auto const start = runtime_clock::now();
+    boost::asio::io_context io;
+    timer alarm{io, 10s};
+    bool fired = false;
+    alarm.async_wait(
+        [&](auto)
+        {
+            fired = true;
+        });
+    io.run_for(5ms);
+    CHECK_FALSE(fired);
+    runtime_clock::advance(11s);
+    io.restart();
+    io.run_for(50ms);
+    CHECK(fired);
+    CHECK(runtime_clock::now() - start == 11s);
+    runtime_clock::resume();
+}
+
+TEST_CASE("a full mailbox drops and counts")
+{
+    boost::asio::io_context io;
+    std::vector<int> received;
+    mailbox<std::unique_ptr<int>> box{
+        io,
+        2,
+        [&](std::unique_ptr<int>&& value)
+        {
+            received.push_back(*value);
+        }};
+    CHECK(box.push(std::make_unique<int>(1)));
+    CHECK(box.push(std::make_unique<int>(2)));
+    CHECK_FALSE(box.push(std::make_unique<int>(3)));
+    io.run();
+    CHECK(received == std::vector<int>{1, 2});
+    CHECK(box.dropped() == 1);
+}
+
+TEST_CASE("metrics text holds counters, labels and quantiles")
+{
+    metrics_registry registry;
+    registry.get_counter("briarhub_refusals_total", {{"code", "3001"}}).add(2);
+    registry.get_latency("briarhub_added_seconds").record(2ms);
+    std::string const text = registry.to_text();
+    CHECK(
+        text.find("briarhub_refusals_total{code=\"3001\"} 2") !=
+        std::string::npos);
+    CHECK(text.find("briarhub_added_seconds_count 1") != std::string::npos);
+}
