--- /dev/null
+++ b/src/admin.cpp
@@ -0,0 +1,348 @@
+#include "admin.hpp"
+
+#include "clock.hpp"
+#include "parse_number.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <openssl/crypto.h>
+
+#include <array>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace briarhub
+{
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using tcp = asio::ip::tcp;
+
+using request = http::request<http::string_body>;
+using response = http::response<http::string_body>;
+
+constexpr std::chrono::seconds idle_timeout{30};
+
+/// Longer than the wait for a change to become stable.
+constexpr std::chrono::seconds query_timeout{8};
+
+constexpr std::uint64_t max_admin_body_bytes = 64ULL * 1024 * 1024;
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+
+struct route
+{
+    http::verb m_method;
+    std::string_view m_path;
+    admin_topic m_topic;
+    bool m_has_argument; ///< the rest of the path is the argument
+};
+
+constexpr std::string_view changes_path = "/api/v1/changes/";
+
+constexpr std::array<route, 8> routes{{
+    {http::verb::get, "/api/v1/upstreams", admin_topic::upstreams, false},
+    {http::verb::get, "/api/v1/accounts", admin_topic::accounts, false},
+    {http::verb::get, "/api/v1/queues", admin_topic::queues, false},
+    {http::verb::get, "/api/v1/members", admin_topic::members, false},
+    {http::verb::get, "/api/v1/config", admin_topic::config_show, false},
+    {http::verb::post, "/api/v1/changes", admin_topic::config_apply, false},
+    {http::verb::get, changes_path, admin_topic::change_lookup, true},
+    {http::verb::get, "/api/v1/in-doubt", admin_topic::in_doubt, false},
+}};
+
+bool is_traffic_topic(admin_topic topic)
+{
+    return topic == admin_topic::readiness || topic == admin_topic::upstreams ||
+           topic == admin_topic::accounts || topic == admin_topic::queues;
+}
+
+route const* find_route(request const& message)
+{
+    std::string_view const target{
+        message.target().data(), message.target().size()};
+    for (auto const& entry : routes)
+    {
+        bool const matches = entry.m_has_argument
+                                 ? target.starts_with(entry.m_path)
+                                 : target == entry.m_path;
+        if (matches && message.method() == entry.m_method)
+        {
+            return &entry;
+        }
+    }
+    return nullptr;
+}
+
+response make_response(
+    request const& message,
+    unsigned status,
+    std::string_view content_type,
+    std::string body)
+{
+    response answer{static_cast<http::status>(status), message.version()};
+    answer.set(http::field::content_type, content_type);
+    answer.keep_alive(message.keep_alive());
+    answer.body() = std::move(body);
+    answer.prepare_payload();
+    return answer;
+}
+
+/// The reply's body; a failed one also states the result code.
+response make_reply(request const& message, admin_reply const& reply)
+{
+    auto const& info = describe(reply.m_code);
+    json::value body = reply.m_body;
+    if (reply.m_code != result_code::ok)
+    {
+        json::object failure{
+            {"code", static_cast<unsigned>(reply.m_code)},
+            {"reason", info.m_name},
+            {"text", info.m_text}};
+        if (!reply.m_body.is_null())
+        {
+            failure["detail"] = reply.m_body;
+        }
+        body = std::move(failure);
+    }
+    return make_response(
+        message,
+        info.m_http_status,
+        "application/json",
+        json::serialize(body) + '\n');
+}
+
+bool is_authorized(request const& message, std::string const& token)
+{
+    std::string const expected = "Bearer " + token;
+    auto const given = message[http::field::authorization];
+    return given.size() == expected.size() &&
+           CRYPTO_memcmp(given.data(), expected.data(), expected.size()) == 0;
+}
+
+/// A query's reply and the timer that its receiver waits on.
+struct pending_reply
+{
+    explicit pending_reply(asio::io_context& io) : m_timer(io, query_timeout)
+    {
+    }
+
+    timer m_timer;
+    std::optional<admin_reply> m_reply;
+};
+
+} // namespace
+
+struct admin::implementation
+{
+    implementation(
+        asio::io_context& io,
+        settings const& options,
+        metrics_registry const& metrics,
+        admin_submit to_traffic,
+        admin_submit to_control)
+        : m_io(io), m_acceptor(io), m_token(options.m_admin_token),
+          m_metrics(metrics), m_to_traffic(std::move(to_traffic)),
+          m_to_control(std::move(to_control))
+    {
+        auto const address = split_endpoint(options.m_admin_listen);
+        tcp::endpoint const endpoint{
+            asio::ip::make_address(address.value().m_ip),
+            address.value().m_port};
+        m_acceptor.open(endpoint.protocol());
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+        m_acceptor.bind(endpoint);
+        m_acceptor.listen();
+    }
+
+    asio::awaitable<void> accept_loop()
+    {
+        for (;;)
+        {
+            auto [error, socket] = co_await m_acceptor.async_accept(use_tuple);
+            if (error == asio::error::operation_aborted)
+            {
+                co_return;
+            }
+            if (!error)
+            {
+                asio::co_spawn(m_io, serve(std::move(socket)), asio::detached);
+            }
+        }
+    }
+
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        beast::tcp_stream stream{std::move(socket)};
+        beast::flat_buffer buffer;
+        for (;;)
+        {
+            stream.expires_after(idle_timeout);
+            http::request_parser<http::string_body> parser;
+            parser.body_limit(max_admin_body_bytes);
+            auto [read_error, read_bytes] =
+                co_await http::async_read(stream, buffer, parser, use_tuple);
+            if (read_error)
+            {
+                co_return;
+            }
+            response answer = co_await handle(parser.get());
+            stream.expires_after(idle_timeout);
+            auto [write_error, write_bytes] =
+                co_await http::async_write(stream, answer, use_tuple);
+            if (write_error || !answer.keep_alive())
+            {
+                co_return;
+            }
+        }
+    }
+
+    asio::awaitable<response> handle(request const& message)
+    {
+        if (message.target() == "/metrics")
+        {
+            co_return make_response(
+                message, 200, "text/plain; version=0.0.4", m_metrics.to_text());
+        }
+        if (message.target() == "/healthz")
+        {
+            co_return make_response(message, 200, "text/plain", "ok\n");
+        }
+        if (message.target() == "/readyz")
+        {
+            co_return co_await answer_readiness(message);
+        }
+        if (!is_authorized(message, m_token))
+        {
+            co_return make_reply(
+                message, {result_code::admin_unauthorized, {}});
+        }
+        route const* const found = find_route(message);
+        if (found == nullptr)
+        {
+            co_return make_reply(message, {result_code::admin_not_found, {}});
+        }
+        co_return co_await answer_route(message, *found);
+    }
+
+    asio::awaitable<response> answer_readiness(request const& message)
+    {
+        // GCC 12 destroys a braced temporary in a co_await operand twice.
+        admin_query query;
+        query.m_topic = admin_topic::readiness;
+        admin_reply reply = co_await ask(std::move(query));
+        auto const* const fields = reply.m_body.if_object();
+        bool const is_ready = fields != nullptr && fields->contains("ready") &&
+                              fields->at("ready") == json::value(true);
+        co_return make_response(
+            message,
+            is_ready ? 200 : 503,
+            "application/json",
+            json::serialize(reply.m_body) + '\n');
+    }
+
+    asio::awaitable<response>
+    answer_route(request const& message, route const& found)
+    {
+        admin_query query;
+        query.m_topic = found.m_topic;
+        if (found.m_has_argument)
+        {
+            query.m_argument =
+                std::string{message.target().substr(found.m_path.size())};
+        }
+        if (found.m_method == http::verb::post)
+        {
+            boost::system::error_code error;
+            query.m_body = json::parse(message.body(), error);
+            if (error)
+            {
+                co_return make_reply(
+                    message,
+                    {result_code::config_invalid,
+                     json::value("the body is not JSON")});
+            }
+        }
+        co_return make_reply(message, co_await ask(std::move(query)));
+    }
+
+    /// Sends a query to its thread and waits for the reply.
+    asio::awaitable<admin_reply> ask(admin_query query)
+    {
+        // Shared with the other thread, which may reply after the timeout.
+        auto const pending = std::make_shared<pending_reply>(m_io);
+        query.m_reply = [this, pending](admin_reply reply)
+        {
+            asio::post(
+                m_io,
+                [pending, reply = std::move(reply)]() mutable
+                {
+                    pending->m_reply = std::move(reply);
+                    pending->m_timer.cancel();
+                });
+        };
+        auto const& submit =
+            is_traffic_topic(query.m_topic) ? m_to_traffic : m_to_control;
+        if (!submit(std::move(query)))
+        {
+            co_return admin_reply{result_code::overloaded, {}};
+        }
+        if (!pending->m_reply)
+        {
+            co_await pending->m_timer.async_wait(use_tuple);
+        }
+        co_return pending->m_reply.value_or(
+            admin_reply{result_code::overloaded, {}});
+    }
+
+    asio::io_context& m_io;
+    tcp::acceptor m_acceptor;
+    std::string m_token;
+    metrics_registry const& m_metrics;
+    admin_submit m_to_traffic;
+    admin_submit m_to_control;
+};
+
+admin::admin(
+    asio::io_context& io,
+    settings const& options,
+    metrics_registry const& metrics,
+    admin_submit to_traffic,
+    admin_submit to_control)
+    : m_implementation(std::make_unique<implementation>(
+          io, options, metrics, std::move(to_traffic), std::move(to_control)))
+{
+}
+
+admin::~admin() = default;
+
+void admin::start()
+{
+    asio::co_spawn(
+        m_implementation->m_io,
+        m_implementation->accept_loop(),
+        asio::detached);
+}
+
+std::uint16_t admin::port() const
+{
+    return m_implementation->m_acceptor.local_endpoint().port();
+}
+
+} // namespace briarhub
--- /dev/null
+++ b/src/admin_client.cpp
@@ -0,0 +1,117 @@
+#include "admin_client.hpp"
+
+#include "parse_number.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/system/system_error.hpp>
+
+#include <cstdint>
+#include <utility>
+
+namespace briarhub
+{
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+/// A configuration of 140,000 accounts stays below this.
+constexpr std::uint64_t max_answer_bytes = 256ULL * 1024 * 1024;
+
+using request = http::request<http::string_body>;
+
+/// Throws boost::system::system_error.
+asio::awaitable<admin_answer> exchange(
+    tcp::endpoint endpoint, request message, std::chrono::milliseconds timeout)
+{
+    beast::tcp_stream stream{co_await asio::this_coro::executor};
+    stream.expires_after(timeout);
+    co_await stream.async_connect(endpoint, asio::use_awaitable);
+    co_await http::async_write(stream, message, asio::use_awaitable);
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(max_answer_bytes);
+    co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
+    admin_answer answer;
+    answer.m_http_status = parser.get().result_int();
+    answer.m_body = boost::json::parse(parser.get().body());
+    co_return answer;
+}
+
+} // namespace
+
+admin_client::admin_client(
+    endpoint_address address,
+    std::string token,
+    std::chrono::milliseconds timeout)
+    : m_address(std::move(address)), m_token(std::move(token)),
+      m_timeout(timeout)
+{
+}
+
+std::variant<admin_answer, admin_unreachable>
+admin_client::get(std::string const& path) const
+{
+    return call(http::verb::get, path, {});
+}
+
+std::variant<admin_answer, admin_unreachable> admin_client::post(
+    std::string const& path, boost::json::value const& body) const
+{
+    return call(http::verb::post, path, boost::json::serialize(body));
+}
+
+std::variant<admin_answer, admin_unreachable> admin_client::call(
+    http::verb method, std::string const& path, std::string body) const
+{
+    auto const address = split_endpoint(m_address);
+    if (!address)
+    {
+        return admin_unreachable{m_address + " is not ip:port"};
+    }
+    tcp::endpoint const endpoint{
+        asio::ip::make_address(address->m_ip), address->m_port};
+    request message{method, path, 11};
+    message.set(http::field::host, m_address);
+    message.set(http::field::authorization, "Bearer " + m_token);
+    message.body() = std::move(body);
+    message.prepare_payload();
+
+    asio::io_context io;
+    std::variant<admin_answer, admin_unreachable> result;
+    asio::co_spawn(
+        io,
+        exchange(endpoint, std::move(message), m_timeout),
+        [&result](std::exception_ptr const& failure, admin_answer answer)
+        {
+            if (!failure)
+            {
+                result = std::move(answer);
+                return;
+            }
+            try
+            {
+                std::rethrow_exception(failure);
+            }
+            catch (std::exception const& error)
+            {
+                result = admin_unreachable{error.what()};
+            }
+        });
+    io.run();
+    return result;
+}
+
+} // namespace briarhub
--- /dev/null
+++ b/src/admin_client.hpp
@@ -0,0 +1,57 @@
+#ifndef BRIARHUB_ADMIN_CLIENT_HPP
+#define BRIARHUB_ADMIN_CLIENT_HPP
+
+/// Blocking client of the admin API, for the command line.
+
+#include "types.hpp"
+
+#include <boost/beast/http/verb.hpp>
+#include <boost/json/value.hpp>
+
+#include <chrono>
+#include <string>
+#include <variant>
+
+namespace briarhub
+{
+
+struct admin_answer
+{
+    unsigned m_http_status = 0;
+    boost::json::value m_body;
+};
+
+/// The entry process could not be asked.
+struct admin_unreachable
+{
+    std::string m_message;
+};
+
+class admin_client
+{
+public:
+    admin_client(
+        endpoint_address address,
+        std::string token,
+        std::chrono::milliseconds timeout);
+
+    std::variant<admin_answer, admin_unreachable>
+    get(std::string const& path) const;
+
+    std::variant<admin_answer, admin_unreachable>
+    post(std::string const& path, boost::json::value const& body) const;
+
+private:
+    std::variant<admin_answer, admin_unreachable> call(
+        boost::beast::http::verb method,
+        std::string const& path,
+        std::string body) const;
+
+    endpoint_address m_address;
+    std::string m_token;
+    std::chrono::milliseconds m_timeout;
+};
+
+} // namespace briarhub
+
+#endif
