--- a/src/platform_client.hpp
+++ b/src/platform_client.hpp
@@ -39,13 +39,18 @@
     std::vector<log_record> m_records;
 };
 
+/// Operations may outlive the client; they then end with an error. Used on the
+/// one thread that runs `io`.
 class platform_client
 {
 public:
+    /// `timeout` limits each exchange, for long polls in addition to the wait.
+    /// `vm` names the sender in the header Briarhub-Vm, if given.
     platform_client(
         boost::asio::io_context& io,
         endpoint_address address,
-        std::chrono::milliseconds timeout);
+        std::chrono::milliseconds timeout,
+        vm_id vm = {});
     ~platform_client();
     platform_client(platform_client const&) = delete;
     platform_client& operator=(platform_client const&) = delete;
@@ -62,6 +67,9 @@
 
     boost::asio::awaitable<platform_result<vm_list>> list_vms();
 
+    /// Ends the operations in progress with an error and refuses new ones.
+    void close();
+
 private:
     struct implementation;
     std::unique_ptr<implementation> m_implementation;
