--- a/src/config.hpp
+++ b/src/config.hpp
@@ -146,12 +146,19 @@
 
 using config_errors = std::vector<config_error>;
 
-/// Reads a configuration file (JSON). Unknown fields are errors.
+/// Reads and validates a configuration file (JSON). Unknown fields are errors.
 std::variant<config, config_errors> parse_config(std::string_view text);
 
+/// The same for JSON that was parsed before. `path` leads the error paths.
+std::variant<config, config_errors>
+parse_config_value(boost::json::value const& value, std::string const& path);
+
 /// JSON text of a configuration with sorted names, as `parse_config` reads it.
 std::string to_json_text(config const& configuration);
 
+/// The same as a JSON value.
+boost::json::value to_json_value(config const& configuration);
+
 /// JSON of one operation for log records, and back.
 boost::json::value to_json(config_operation const& operation);
 std::variant<config_operation, config_errors>
@@ -160,6 +167,9 @@
 /// Checks ranges and references between the parts. Empty if valid.
 config_errors validate(config const& configuration);
 
+/// True for names of services, work classes and accounts and for key ids.
+bool is_valid_name(std::string_view name);
+
 /// Applies an operation; the result still needs `validate`.
 void apply(config& configuration, config_operation const& operation);
 
