--- a/src/control_log.hpp
+++ b/src/control_log.hpp
@@ -3,12 +3,16 @@
 
 /// Deterministic fold of the control stream: configuration and members.
 /// Pure: no I/O, reads no clock.
+///
+/// Offsets of the stream are consecutive, so a jump is a gap: records between
+/// were trimmed, and the state is unusable until a snapshot closes the gap.
 
 #include "config.hpp"
 #include "types.hpp"
 
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -23,6 +27,32 @@
 /// Change ids whose results are remembered, in fold order.
 inline constexpr std::size_t max_remembered_changes = 4096;
 
+/// The errors of this many changes are remembered; of older ones only the
+/// status is. With more, a snapshot would exceed the size of a log record.
+inline constexpr std::size_t max_changes_with_errors = 32;
+
+/// Errors remembered of one change, and the bytes of each text.
+inline constexpr std::size_t max_remembered_errors = 4;
+inline constexpr std::size_t max_error_bytes = 200;
+
+/// Membership changes that the state remembers.
+inline constexpr std::size_t max_member_changes = 256;
+
+/// Records kept for peers that lack a few.
+inline constexpr std::size_t max_recent_records = 1024;
+inline constexpr std::size_t max_recent_bytes = 4 * 1024 * 1024;
+
+/// Largest record that the platform's log accepts. A state whose snapshot is
+/// larger can only be passed on by peers.
+inline constexpr std::size_t max_record_bytes = 256 * 1024;
+
+/// `through_offset` of a state that no record was folded into. The offset
+/// after it is 0.
+inline constexpr log_offset before_first_offset =
+    std::numeric_limits<log_offset>::max();
+
+/// Withdrawals in a change take effect whatever becomes of the other
+/// operations, unless the change is invalid.
 struct change_record
 {
     std::string m_change_id; ///< UUID
@@ -35,6 +65,9 @@
     member m_member;
 };
 
+inline constexpr std::string_view leave_by_shutdown = "shutdown";
+inline constexpr std::string_view leave_by_fence = "fence";
+
 struct leave_record
 {
     vm_id m_vm;
@@ -57,7 +90,38 @@
     config_version m_config_version = 0;
     std::vector<config_error> m_errors;
 
-    friend bool operator==(change_result const&, change_result const&);
+    friend bool
+    operator==(change_result const&, change_result const&) = default;
+};
+
+/// How a version changed the members.
+struct member_change
+{
+    control_version m_version = 0;
+    std::optional<member> m_joined;
+    std::optional<member> m_left;
+    /// The process of `m_left` has ended: its VM joined with a later
+    /// incarnation, or it left by itself. It never joins again.
+    bool m_left_ended = false;
+
+    friend bool
+    operator==(member_change const&, member_change const&) = default;
+};
+
+/// The members from a version on.
+struct member_set
+{
+    control_version m_version = 0;
+    std::vector<member> m_members;
+
+    friend bool operator==(member_set const&, member_set const&) = default;
+};
+
+/// All member sets from a version on, without a gap, oldest first.
+struct member_history
+{
+    std::vector<member_set> m_sets;
+    std::vector<member> m_ended; ///< incarnations whose process has ended
 };
 
 /// Everything that the fold produces. Two VMs that folded up to the same
@@ -71,12 +135,27 @@
     std::map<std::string, change_result> m_changes; ///< by change id
     std::deque<std::string> m_change_order;         ///< oldest first
     std::set<std::string> m_withdrawn_keys;         ///< key ids, never reused
+    std::deque<member_change> m_member_changes;     ///< oldest first
+    /// The member sets from this version on can be derived.
+    control_version m_member_changes_since = 0;
+
+    friend bool
+    operator==(control_state const&, control_state const&) = default;
 };
 
+/// The member sets that a state remembers, for `freshness`.
+member_history get_member_history(control_state const& state);
+
 struct snapshot_record
 {
     control_state m_state;
     log_offset m_through_offset = 0;
+    /// A version that the author knew to be stable. It lets a VM that starts
+    /// from the snapshot determine which later versions are stable.
+    control_version m_stable_version = 0;
+
+    friend bool
+    operator==(snapshot_record const&, snapshot_record const&) = default;
 };
 
 using control_record =
@@ -100,26 +179,35 @@
 {
 public:
     /// Folds one record. Offsets must rise; an offset folded before is
-    /// ignored. `first_kept` is the oldest offset the log keeps.
+    /// ignored. A record that cannot be parsed has no effect.
     fold_effect fold(log_record const& record);
 
-    /// Tells that reading starts at this offset; 0 means that nothing was
-    /// trimmed, so that an empty state is complete.
+    /// Tells the oldest offset that can be read, before the records of a read
+    /// are folded; 0 at first means that nothing was trimmed, so that an empty
+    /// state is complete. An offset above `next_offset` is a gap.
     void start_at(log_offset first);
 
-    /// Takes over a peer's whole state, if it is newer.
+    /// Takes over a peer's whole state, if it is newer and leaves no gap to
+    /// the records read so far.
     bool adopt(snapshot_record const& snapshot);
 
-    /// False until a snapshot or the start of the stream was folded.
+    /// False until a snapshot or the start of the stream was folded, and after
+    /// a gap. While it is false a read of the stream confirms nothing.
     [[nodiscard]] bool has_state() const;
 
     [[nodiscard]] control_state const& state() const;
     [[nodiscard]] log_offset next_offset() const;
 
-    /// A snapshot of the present state.
+    /// A snapshot of the present state; needs `has_state`. The caller sets
+    /// the stable version, which is not part of the fold.
     [[nodiscard]] snapshot_record make_snapshot() const;
 
-    /// Append time of the newest snapshot seen, if any.
+    /// The highest stable version named by a snapshot in the log or a peer's.
+    [[nodiscard]] control_version known_stable_version() const;
+
+    /// When the first record after the newest snapshot's `through_offset` was
+    /// appended; nullopt if there is no snapshot or it is too old to tell. So
+    /// a snapshot that was appended late does not count as new.
     [[nodiscard]] std::optional<wall_time> last_snapshot_at() const;
 
     /// Records folded lately, for peers that lack a few; nullopt if `after`
@@ -130,12 +218,22 @@
 private:
     struct fold_visitor;
 
+    void restart_at(log_offset first);
+    void remember(log_record const& record);
+    void note_snapshot(snapshot_record const& snapshot);
+    bool closes_gap(snapshot_record const& snapshot) const;
+    void take_over(snapshot_record const& snapshot);
+    fold_effect fold_without_state(
+        std::optional<control_record> const& parsed, log_offset offset);
+
     control_state m_state;
     bool m_has_state = false;
     bool m_started = false;
     log_offset m_next_offset = 0;
     std::vector<log_record> m_buffer; ///< read before a usable snapshot
     std::deque<log_record> m_recent;
+    std::size_t m_recent_bytes = 0;
+    control_version m_known_stable = 0;
     std::optional<wall_time> m_last_snapshot_at;
 };
 
