--- a/src/control_log.cpp
+++ b/src/control_log.cpp
@@ -943,7 +943,10 @@
     {
         return {};
     }
-    start_at(m_started ? m_next_offset : record.m_offset);
+    if (!m_started)
+    {
+        start_at(record.m_offset);
+    }
     if (record.m_offset < m_next_offset)
     {
         return {};
--- /dev/null
+++ b/src/freshness.cpp
@@ -0,0 +1,317 @@
+#include "freshness.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <limits>
+
+namespace briarhub
+{
+namespace
+{
+
+constexpr control_version every_version =
+    std::numeric_limits<control_version>::max();
+
+std::size_t majority_of(std::size_t members)
+{
+    return members / 2 + 1;
+}
+
+using set_map = std::map<control_version, std::vector<member>>;
+
+/// The set in force at a version; `end` if it is unknown.
+set_map::const_iterator in_force_at(set_map const& sets, control_version v)
+{
+    auto const next = sets.upper_bound(v);
+    return next == sets.begin() ? sets.end() : std::prev(next);
+}
+
+/// The value that at least `count` of the values reach.
+template <class Value>
+Value reached_by(std::vector<Value>& values, std::size_t count)
+{
+    auto const place = values.begin() + static_cast<std::ptrdiff_t>(count - 1);
+    std::ranges::nth_element(values, place, std::greater{});
+    return *place;
+}
+
+} // namespace
+
+freshness::freshness(member self) : m_self{std::move(self)}
+{
+}
+
+void freshness::set_members(
+    control_version version, std::vector<member> members)
+{
+    constexpr control_version first_version = 1;
+    if (m_members.empty() && version == first_version)
+    {
+        m_members.emplace(0, std::vector<member>{});
+    }
+    if (!m_members.empty() && version <= m_members.rbegin()->first)
+    {
+        return;
+    }
+    if (!m_members.empty())
+    {
+        for (member const& old : m_members.rbegin()->second)
+        {
+            auto const present =
+                std::ranges::find(members, old.m_vm, &member::m_vm);
+            if (present != members.end() &&
+                present->m_incarnation != old.m_incarnation)
+            {
+                note_ended(old);
+            }
+        }
+    }
+    m_members.emplace(version, std::move(members));
+    advance_stable();
+    confirm_by_peers();
+}
+
+void freshness::set_history(member_history const& history)
+{
+    if (history.m_sets.empty())
+    {
+        return;
+    }
+    control_version const first = history.m_sets.front().m_version;
+    if (!m_members.empty() && first > m_members.rbegin()->first)
+    {
+        m_members.clear();
+    }
+    for (member_set const& set : history.m_sets)
+    {
+        m_members.emplace(set.m_version, set.m_members);
+    }
+    for (member const& ended : history.m_ended)
+    {
+        note_ended(ended);
+    }
+    advance_stable();
+    confirm_by_peers();
+}
+
+void freshness::note_stable(control_version version)
+{
+    m_stable = std::max(m_stable, version);
+    advance_stable();
+}
+
+void freshness::note_ended(member const& ended)
+{
+    m_ended.emplace(ended.m_vm, ended.m_incarnation);
+}
+
+void freshness::set_version(control_version version)
+{
+    m_version = std::max(m_version, version);
+    advance_stable();
+    confirm_by_peers();
+}
+
+void freshness::log_confirmed(time_point start)
+{
+    m_log_start = std::max(m_log_start.value_or(start), start);
+}
+
+/// Answers may arrive out of order. The latest start and the highest version
+/// are kept; an incarnation's version never falls, so both hold together.
+void freshness::peer_confirmed(
+    time_point start, member const& peer, control_version version)
+{
+    incarnation_key const key{peer.m_vm, peer.m_incarnation};
+    auto const [place, is_new] =
+        m_peers.emplace(key, acknowledgement{start, version});
+    acknowledgement& known = place->second;
+    known.m_start = std::max(known.m_start, start);
+    known.m_version = std::max(known.m_version, version);
+    advance_stable();
+    confirm_by_peers();
+}
+
+void freshness::self_confirmed(time_point now)
+{
+    m_self_start = std::max(m_self_start.value_or(now), now);
+    confirm_by_peers();
+}
+
+/// An ended incarnation counts as holding every version elsewhere, so it must
+/// not admit anything if it runs after all.
+time_point freshness::valid_until() const
+{
+    if (m_ended.contains({m_self.m_vm, m_self.m_incarnation}))
+    {
+        return {};
+    }
+    if (!m_log_start && !m_peers_start)
+    {
+        return {};
+    }
+    time_point const start = std::max(
+        m_log_start.value_or(time_point::min()),
+        m_peers_start.value_or(time_point::min()));
+    return start + freshness_window;
+}
+
+control_version freshness::stable_version() const
+{
+    return m_stable;
+}
+
+bool freshness::is_behind() const
+{
+    auto const is_newer = [this](auto const& peer)
+    {
+        return peer.second.m_version > m_version;
+    };
+    return std::ranges::any_of(m_peers, is_newer);
+}
+
+bool freshness::is_self(member const& m) const
+{
+    return m.m_vm == m_self.m_vm && m.m_incarnation == m_self.m_incarnation;
+}
+
+/// The start of a member's latest round trip; none if it holds a version
+/// newer than ours, since then it confirms nothing.
+std::optional<time_point> freshness::start_of(member const& m) const
+{
+    if (is_self(m))
+    {
+        return time_point::max();
+    }
+    auto const peer = m_peers.find({m.m_vm, m.m_incarnation});
+    if (peer == m_peers.end() || peer->second.m_version > m_version)
+    {
+        return std::nullopt;
+    }
+    return peer->second.m_start;
+}
+
+control_version freshness::version_of(member const& m) const
+{
+    if (is_self(m))
+    {
+        return m_version;
+    }
+    if (m_ended.contains({m.m_vm, m.m_incarnation}))
+    {
+        return every_version;
+    }
+    auto const peer = m_peers.find({m.m_vm, m.m_incarnation});
+    return peer == m_peers.end() ? 0 : peer->second.m_version;
+}
+
+/// A confirmation stays true when later answers are missing or newer: what
+/// counts is that no newer version was stable when its round trips began.
+void freshness::confirm_by_peers()
+{
+    auto const set = in_force_at(m_members, m_version);
+    if (set == m_members.end())
+    {
+        return;
+    }
+    std::vector<time_point> starts;
+    for (member const& m : set->second)
+    {
+        if (auto const start = start_of(m))
+        {
+            starts.push_back(*start);
+        }
+    }
+    std::size_t const majority = majority_of(set->second.size());
+    if (starts.size() < majority)
+    {
+        return;
+    }
+    time_point const oldest = reached_by(starts, majority);
+    auto const confirmed =
+        oldest == time_point::max() ? m_self_start : std::optional{oldest};
+    if (confirmed)
+    {
+        m_peers_start =
+            std::max(m_peers_start.value_or(*confirmed), *confirmed);
+    }
+}
+
+/// The highest version that a majority is known to hold. No VM admits by the
+/// contact with an empty set, so it holds back no version.
+control_version
+freshness::held_by_majority(std::vector<member> const& members) const
+{
+    if (members.empty())
+    {
+        return every_version;
+    }
+    std::vector<control_version> versions;
+    for (member const& m : members)
+    {
+        versions.push_back(version_of(m));
+    }
+    return reached_by(versions, majority_of(members.size()));
+}
+
+/// Raises the stable version to the highest one that a majority of each
+/// member set, from the one in force at the stable version to the one in
+/// force at the version itself, holds.
+void freshness::advance_stable()
+{
+    control_version held = m_version;
+    auto set = in_force_at(m_members, m_stable);
+    while (set != m_members.end())
+    {
+        auto const next = std::next(set);
+        control_version const begin = set->first;
+        control_version const end =
+            next == m_members.end() ? every_version : next->first - 1;
+        held = std::min(held, held_by_majority(set->second));
+        if (held < begin)
+        {
+            break;
+        }
+        m_stable = std::max(m_stable, std::min(held, end));
+        if (held <= end)
+        {
+            break;
+        }
+        set = next;
+    }
+    forget();
+}
+
+/// Drops member sets older than the stable version and than ours, and what is
+/// known of incarnations that are in none of the others.
+void freshness::forget()
+{
+    auto const kept = in_force_at(m_members, std::min(m_stable, m_version));
+    if (kept != m_members.end())
+    {
+        m_members.erase(m_members.cbegin(), kept);
+    }
+    std::set<incarnation_key> needed{{m_self.m_vm, m_self.m_incarnation}};
+    for (auto const& [version, members] : m_members)
+    {
+        for (member const& m : members)
+        {
+            needed.emplace(m.m_vm, m.m_incarnation);
+        }
+    }
+    std::erase_if(
+        m_ended,
+        [&](incarnation_key const& key)
+        {
+            return !needed.contains(key);
+        });
+    std::erase_if(
+        m_peers,
+        [&](auto const& peer)
+        {
+            return !needed.contains(peer.first) &&
+                   peer.second.m_version <= m_version;
+        });
+}
+
+} // namespace briarhub
--- a/src/freshness.hpp
+++ b/src/freshness.hpp
@@ -3,12 +3,24 @@
 
 /// Decides until when this VM may admit requests, and which versions are
 /// stable. Pure: no I/O, reads no clock.
-
+///
+/// What the argument rests on: a VM that admits by its peers has had, since
+/// `valid_until() - freshness_window`, answers of a majority of the members of
+/// its version u, each holding at most u. If a majority of the same member
+/// set holds v > u, the two share a member, so those round trips began before
+/// that member held v. This works within one member set only. Majorities of
+/// adjacent versions need not intersect: a join that replaces an earlier
+/// incarnation changes two members. So a version becomes stable only when a
+/// majority holds it in each member set since the stable version before, and
+/// a VM that does not know these sets takes no version for stable.
+
+#include "control_log.hpp"
 #include "types.hpp"
 
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -23,22 +35,43 @@
 public:
     explicit freshness(member self);
 
-    /// Members at a version; versions must rise. Versions that leave the
-    /// members unchanged need not be reported one by one.
+    /// Members at a version; versions must rise. Each version that changes
+    /// the members must be reported, before `set_version` reports it. The
+    /// sets before the first one reported count as unknown, unless that is
+    /// the first version of all.
     void set_members(control_version version, std::vector<member> members);
 
+    /// The member sets of a state that was taken over (snapshot or peer), or
+    /// of any state. Sets between those known before and these count as
+    /// unknown unless they overlap.
+    void set_history(member_history const& history);
+
+    /// A snapshot or a peer tells that a version is stable.
+    void note_stable(control_version version);
+
+    /// The process of this incarnation has ended: it left by itself. It
+    /// counts as holding every version, since it answers no one any more.
+    void note_ended(member const& ended);
+
     /// This VM now holds `version`.
     void set_version(control_version version);
 
-    /// A read of the control stream, begun at `start`, reached its end.
+    /// A read of the control stream, begun at `start`, reached its end, and
+    /// its records were folded without a gap.
     void log_confirmed(time_point start);
 
     /// A round trip with a peer, begun at `start`, was acknowledged; the peer
-    /// held `version`.
+    /// held `version` when it answered. `peer` is the incarnation named in
+    /// the answer.
     void peer_confirmed(
         time_point start, member const& peer, control_version version);
 
+    /// This VM runs at `now`. A VM that is the only member is a majority by
+    /// itself, without a round trip.
+    void self_confirmed(time_point now);
+
     /// The end of the present permission to admit; the epoch if there is none.
+    /// It never moves back, unless another process took this VM's place.
     [[nodiscard]] time_point valid_until() const;
 
     /// The highest version known to be stable.
@@ -54,14 +87,27 @@
         control_version m_version = 0;
     };
 
+    using incarnation_key = std::pair<vm_id, incarnation>;
+
     void advance_stable();
+    void confirm_by_peers();
+    void forget();
+    [[nodiscard]] bool is_self(member const& m) const;
+    [[nodiscard]] std::optional<time_point> start_of(member const& m) const;
+    [[nodiscard]] control_version version_of(member const& m) const;
+    [[nodiscard]] control_version
+    held_by_majority(std::vector<member> const& members) const;
 
     member m_self;
     control_version m_version = 0;
     control_version m_stable = 0;
+    /// By the version from which on they are in force; without a gap.
     std::map<control_version, std::vector<member>> m_members;
-    std::map<std::pair<vm_id, incarnation>, acknowledgement> m_peers;
+    std::map<incarnation_key, acknowledgement> m_peers;
+    std::set<incarnation_key> m_ended;
     std::optional<time_point> m_log_start;
+    std::optional<time_point> m_peers_start;
+    std::optional<time_point> m_self_start;
 };
 
 } // namespace briarhub
