--- a/src/membership.hpp
+++ b/src/membership.hpp
@@ -5,6 +5,7 @@
 /// no clock.
 
 #include "control_log.hpp"
+#include "freshness.hpp"
 #include "types.hpp"
 
 #include <chrono>
@@ -12,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -26,6 +28,27 @@
 /// A member that answered nobody for this long may be fenced.
 inline constexpr std::chrono::seconds fence_after{30};
 
+/// Probes that must have failed as well, since at a large fleet two probes of
+/// one peer may be further apart than `fence_after`.
+inline constexpr std::uint32_t fence_after_failures = 3;
+
+/// A member that the VM list contained and no longer contains may be fenced
+/// after this long without an answer.
+inline constexpr std::chrono::seconds fence_unlisted_after{5};
+
+/// Each member that answers and has a lower VM id gets this much time to
+/// fence first, up to `max_fence_rank` members. Longer than a poll of the log,
+/// so that the first record is seen before the second is due.
+inline constexpr std::chrono::seconds fence_rank_delay{2};
+inline constexpr std::size_t max_fence_rank = 10;
+
+/// A record that had no effect is proposed again after this long.
+inline constexpr std::chrono::seconds fence_retry_after{10};
+inline constexpr std::chrono::seconds join_retry_after{5};
+
+/// A peer whose last probe failed is probed again after this long.
+inline constexpr std::chrono::seconds failed_probe_interval{2};
+
 /// Without an answer of the log for this long the fan-out rises.
 inline constexpr std::chrono::seconds log_silence_limit{1};
 
@@ -44,12 +67,26 @@
     void probe_answered(time_point now, member const& peer);
     void probe_failed(time_point now, vm_id const& peer);
 
+    /// VMs to report to peers as silent: those that have not answered this VM
+    /// for `fence_after`. Empty while this VM doubts its own network.
+    [[nodiscard]] std::vector<vm_id> silent_vms(time_point now) const;
+
+    /// A peer's `silent_vms`; replaces its earlier report.
+    void peer_reported_silent(
+        time_point now, member const& reporter, std::vector<vm_id> silent);
+
     /// The record this VM should append about itself, if any: `join` while it
-    /// is not a member, as far as the folded state tells.
+    /// is not a member, as far as the folded state tells, and the log
+    /// answered since the last one was proposed.
     [[nodiscard]] std::optional<control_record> own_record(time_point now);
 
-    /// A member to fence, if any. The lowest VM id among the members that
-    /// answer does it first; others wait longer, so that one append is usual.
+    /// A later process joined for this VM. This one must stop.
+    [[nodiscard]] bool is_replaced() const;
+
+    /// A member to fence, if any: one that the VM list no longer contains, or
+    /// one that answers neither this VM nor at least one other member. The
+    /// lowest VM id among the members that answer does it first; others wait
+    /// longer, so that one append is usual. None while the log is silent.
     [[nodiscard]] std::optional<leave_record> next_fence(time_point now);
 
     [[nodiscard]] std::optional<entry_vm> find(vm_id const& vm) const;
@@ -65,16 +102,55 @@
 private:
     struct peer_contact
     {
-        std::optional<incarnation> m_incarnation;
+        std::optional<incarnation> m_incarnation; ///< of the last answer
         std::optional<time_point> m_last_answer;
-        time_point m_known_since{};
+        time_point m_incarnation_since{}; ///< first answer of `m_incarnation`
+        time_point m_known_since{};       ///< as a member
+        std::optional<time_point> m_failed_since;
+        std::uint32_t m_failures = 0; ///< since the last answer
+        std::optional<time_point> m_last_probe;
+        std::optional<time_point> m_unlisted_since;
+        bool m_was_listed = false;
+        std::optional<time_point> m_fence_proposed;
+    };
+
+    struct silence_report
+    {
+        time_point m_received{};
+        std::vector<vm_id> m_silent;
     };
 
+    [[nodiscard]] bool is_self(member const& m) const;
+    [[nodiscard]] bool is_self_member() const;
+    [[nodiscard]] bool is_member(vm_id const& vm) const;
+    [[nodiscard]] bool is_listed(vm_id const& vm) const;
+    [[nodiscard]] bool is_log_silent(time_point now) const;
+    [[nodiscard]] bool doubts_itself(time_point now) const;
+    [[nodiscard]] bool answers(member const& m) const;
+    [[nodiscard]] bool
+    is_reported_silent(time_point now, vm_id const& vm) const;
+    [[nodiscard]] std::optional<time_point> silent_since(member const& m) const;
+    [[nodiscard]] bool is_silent(time_point now, member const& m) const;
+    [[nodiscard]] std::optional<time_point>
+    fence_due(time_point now, member const& m) const;
+    [[nodiscard]] std::optional<time_point>
+    unlisted_fence_due(time_point now, member const& m) const;
+    [[nodiscard]] std::size_t fence_rank(member const& target) const;
+    [[nodiscard]] std::size_t fanout(time_point now) const;
+    [[nodiscard]] std::optional<vm_id> failed_peer_due(time_point now) const;
+    void note_listing(time_point now);
+    void start_round(time_point now);
+
     member m_self;
     std::mt19937_64 m_random;
-    std::vector<entry_vm> m_vms;
+    std::vector<entry_vm> m_vms; ///< listed ones and members listed before
+    std::set<vm_id> m_listed;
+    bool m_has_list = false;
     std::vector<member> m_members;
+    bool m_has_members = false;
+    bool m_was_member = false;
     std::map<vm_id, peer_contact> m_contacts;
+    std::map<vm_id, silence_report> m_silence_reports;
     std::vector<vm_id> m_round; ///< peers left in the present shuffled round
     std::optional<time_point> m_last_log_answer;
     std::optional<time_point> m_last_own_record;
