--- /dev/null
+++ b/src/dispatcher.cpp
@@ -0,0 +1,461 @@
+#include "dispatcher.hpp"
+
+#include "fair_queue.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <utility>
+
+namespace briarhub
+{
+namespace
+{
+
+/// Requests that one account may have waiting in a service.
+constexpr std::size_t account_queue_limit = 256;
+
+/// An upstream that shed a request gets fewer from this VM for this long.
+constexpr std::chrono::seconds shed_memory{1};
+
+/// A reported load is used for this long; later it says nothing.
+constexpr std::chrono::milliseconds load_memory{500};
+
+/// Weight of the latest service time in the running mean.
+constexpr double service_time_gain = 0.05;
+
+/// While requests wait, `poll` is needed this often: weights and hints change
+/// with time.
+constexpr std::chrono::milliseconds poll_interval{20};
+
+struct service_queue;
+
+struct upstream_slots
+{
+    upstream m_upstream;
+    service_queue* m_service = nullptr;
+    std::uint32_t m_in_flight = 0;
+    std::uint32_t m_limit_after_shed = 0;
+    time_point m_shed_until{};
+    double m_hinted_others = 0.0; ///< requests of other VMs
+    time_point m_hint_until{};
+    bool m_listed = true;
+
+    [[nodiscard]] std::uint32_t limit(time_point now, double weight) const
+    {
+        double const slots = std::max<std::uint32_t>(m_upstream.m_slots, 1);
+        auto const own = static_cast<std::uint32_t>(std::ceil(slots * weight));
+        return now < m_shed_until ? std::min(own, m_limit_after_shed) : own;
+    }
+
+    [[nodiscard]] double load(time_point now, double weight) const
+    {
+        double const others = now < m_hint_until ? m_hinted_others : 0.0;
+        double const slots = std::max<std::uint32_t>(m_upstream.m_slots, 1);
+        return (m_in_flight + others) / (slots * weight);
+    }
+};
+
+struct service_queue
+{
+    fair_queue m_queue{account_queue_limit};
+    std::set<std::pair<time_point, request_ticket>> m_deadlines;
+    std::vector<upstream_slots*> m_upstreams; ///< listed ones, by id
+    std::size_t m_in_flight = 0;
+    std::optional<double> m_service_time_s;
+};
+
+/// An upstream that may be used, with its weight at present.
+struct weighted_upstream
+{
+    upstream_slots* m_slots = nullptr;
+    double m_weight = 0.0;
+};
+
+struct ticket_place
+{
+    service_name m_service;
+    account_name m_account;
+    time_point m_deadline{};
+};
+
+bool is_excluded(queued_request const& request, upstream_id const& id)
+{
+    return std::ranges::find(request.m_exclude, id) != request.m_exclude.end();
+}
+
+} // namespace
+
+struct dispatcher::implementation
+{
+    implementation(weight_function weight, std::uint64_t seed)
+        : m_weight{std::move(weight)}, m_random{seed}
+    {
+    }
+
+    std::vector<weighted_upstream>
+    usable(time_point now, service_queue const& service) const
+    {
+        std::vector<weighted_upstream> result;
+        for (upstream_slots* slots : service.m_upstreams)
+        {
+            if (slots->m_upstream.m_state != vm_state::live)
+            {
+                continue;
+            }
+            double const weight = m_weight(now, slots->m_upstream.m_id);
+            if (weight > 0.0)
+            {
+                result.push_back({slots, weight});
+            }
+        }
+        return result;
+    }
+
+    // Excluded upstreams are allowed only where no other is usable; a busy
+    // one is waited for.
+    static std::vector<weighted_upstream> free_for(
+        time_point now,
+        std::vector<weighted_upstream> const& usable,
+        queued_request const& request)
+    {
+        bool const all_excluded = std::ranges::all_of(
+            usable,
+            [&](weighted_upstream const& item)
+            {
+                return is_excluded(request, item.m_slots->m_upstream.m_id);
+            });
+        std::vector<weighted_upstream> result;
+        for (weighted_upstream const& item : usable)
+        {
+            upstream_slots const& slots = *item.m_slots;
+            bool const allowed =
+                all_excluded || !is_excluded(request, slots.m_upstream.m_id);
+            if (allowed && slots.m_in_flight < slots.limit(now, item.m_weight))
+            {
+                result.push_back(item);
+            }
+        }
+        return result;
+    }
+
+    // Both choices are drawn in proportion to slots and weight: an upstream in
+    // slow start gets its share also while all are idle.
+    weighted_upstream const& draw(std::vector<weighted_upstream> const& from)
+    {
+        double total = 0.0;
+        for (weighted_upstream const& item : from)
+        {
+            total += item.m_weight * item.m_slots->m_upstream.m_slots;
+        }
+        std::uniform_real_distribution<double> position{0.0, total};
+        double rest = position(m_random);
+        for (weighted_upstream const& item : from)
+        {
+            rest -= item.m_weight * item.m_slots->m_upstream.m_slots;
+            if (rest < 0.0)
+            {
+                return item;
+            }
+        }
+        return from.back();
+    }
+
+    upstream_slots&
+    choose(time_point now, std::vector<weighted_upstream> const& from)
+    {
+        weighted_upstream const& first = draw(from);
+        weighted_upstream const& second = draw(from);
+        bool const is_first = first.m_slots->load(now, first.m_weight) <=
+                              second.m_slots->load(now, second.m_weight);
+        return is_first ? *first.m_slots : *second.m_slots;
+    }
+
+    /// Wait until a new request of the account is served, if all usable
+    /// upstreams are kept busy.
+    duration expected_wait(
+        time_point now,
+        service_queue const& service,
+        std::vector<weighted_upstream> const& usable,
+        account_name const& account) const
+    {
+        double slots = 0.0;
+        bool is_free = false;
+        for (weighted_upstream const& item : usable)
+        {
+            std::uint32_t const limit = item.m_slots->limit(now, item.m_weight);
+            slots += limit;
+            is_free = is_free || item.m_slots->m_in_flight < limit;
+        }
+        std::size_t const ahead = service.m_queue.ahead_of(account);
+        if ((ahead == 0 && is_free) || !service.m_service_time_s)
+        {
+            return duration::zero();
+        }
+        double const turns = static_cast<double>(ahead + 1);
+        double const wait_s =
+            turns * *service.m_service_time_s / std::max(slots, 1.0);
+        return std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>{wait_s});
+    }
+
+    void forget(request_ticket ticket, service_queue& service)
+    {
+        auto const place = m_places.find(ticket);
+        service.m_deadlines.erase({place->second.m_deadline, ticket});
+        m_places.erase(place);
+    }
+
+    void refuse_late(
+        time_point now,
+        service_queue& service,
+        std::vector<dispatch_refusal>& refusals)
+    {
+        while (!service.m_deadlines.empty() &&
+               service.m_deadlines.begin()->first <= now)
+        {
+            request_ticket const ticket = service.m_deadlines.begin()->second;
+            account_name const account = m_places.at(ticket).m_account;
+            service.m_queue.remove(account, ticket);
+            forget(ticket, service);
+            refusals.push_back({ticket, result_code::deadline_passed});
+        }
+    }
+
+    void assign(
+        time_point now,
+        service_queue& service,
+        std::vector<assignment>& assignments)
+    {
+        std::vector<weighted_upstream> const usable_now = usable(now, service);
+        std::vector<weighted_upstream> free;
+        while (service.m_queue.size() > 0)
+        {
+            auto request = service.m_queue.pop(
+                [&](queued_request const& head)
+                {
+                    free = free_for(now, usable_now, head);
+                    return !free.empty();
+                });
+            if (!request)
+            {
+                return;
+            }
+            upstream_slots& chosen = choose(now, free);
+            ++chosen.m_in_flight;
+            ++service.m_in_flight;
+            forget(request->m_ticket, service);
+            assignments.push_back({request->m_ticket, chosen.m_upstream});
+        }
+    }
+
+    weight_function m_weight;
+    std::mt19937_64 m_random;
+    std::map<service_name, service_queue> m_services;
+    std::map<upstream_id, upstream_slots> m_upstreams;
+    std::map<request_ticket, ticket_place> m_places;
+    time_point m_last_poll{};
+};
+
+dispatcher::dispatcher(weight_function weight, std::uint64_t seed)
+    : m_implementation{
+          std::make_unique<implementation>(std::move(weight), seed)}
+{
+}
+
+dispatcher::~dispatcher() = default;
+dispatcher::dispatcher(dispatcher&&) noexcept = default;
+dispatcher& dispatcher::operator=(dispatcher&&) noexcept = default;
+
+// An upstream that left the list is kept until its attempts have ended.
+void dispatcher::set_upstreams(time_point, std::span<upstream const> upstreams)
+{
+    auto& self = *m_implementation;
+    for (auto& [name, service] : self.m_services)
+    {
+        service.m_upstreams.clear();
+    }
+    for (auto& [id, slots] : self.m_upstreams)
+    {
+        slots.m_listed = false;
+    }
+    for (upstream const& item : upstreams)
+    {
+        upstream_slots& slots = self.m_upstreams[item.m_id];
+        slots.m_upstream = item;
+        slots.m_listed = true;
+        slots.m_service = &self.m_services[item.m_service];
+    }
+    std::erase_if(
+        self.m_upstreams,
+        [](auto const& item)
+        {
+            return !item.second.m_listed && item.second.m_in_flight == 0;
+        });
+    for (auto& [id, slots] : self.m_upstreams)
+    {
+        if (slots.m_listed)
+        {
+            slots.m_service->m_upstreams.push_back(&slots);
+        }
+    }
+}
+
+result_code dispatcher::enqueue(time_point now, dispatch_request request)
+{
+    auto& self = *m_implementation;
+    auto const found = self.m_services.find(request.m_service);
+    if (found == self.m_services.end())
+    {
+        return result_code::no_upstream;
+    }
+    service_queue& service = found->second;
+    auto const usable = self.usable(now, service);
+    if (usable.empty())
+    {
+        return result_code::no_upstream;
+    }
+    duration const wait =
+        self.expected_wait(now, service, usable, request.m_account);
+    if (now + wait >= request.m_deadline)
+    {
+        return result_code::deadline_too_short;
+    }
+    ticket_place const place{
+        request.m_service, request.m_account, request.m_deadline};
+    request_ticket const ticket = request.m_ticket;
+    bool const is_retry = !request.m_exclude.empty();
+    queued_request item{
+        ticket,
+        std::move(request.m_account),
+        request.m_deadline,
+        request.m_cost,
+        std::move(request.m_exclude)};
+    if (is_retry)
+    {
+        service.m_queue.push_front(std::move(item));
+    }
+    else if (!service.m_queue.push(std::move(item)))
+    {
+        return result_code::queue_full;
+    }
+    self.m_places.emplace(ticket, place);
+    service.m_deadlines.emplace(place.m_deadline, ticket);
+    return result_code::ok;
+}
+
+void dispatcher::cancel(request_ticket ticket)
+{
+    auto& self = *m_implementation;
+    auto const place = self.m_places.find(ticket);
+    if (place == self.m_places.end())
+    {
+        return;
+    }
+    service_queue& service = self.m_services[place->second.m_service];
+    service.m_queue.remove(place->second.m_account, ticket);
+    self.forget(ticket, service);
+}
+
+dispatch_decisions dispatcher::poll(time_point now)
+{
+    auto& self = *m_implementation;
+    self.m_last_poll = now;
+    dispatch_decisions decisions;
+    for (auto& [name, service] : self.m_services)
+    {
+        self.refuse_late(now, service, decisions.m_refusals);
+        if (service.m_queue.size() > 0)
+        {
+            self.assign(now, service, decisions.m_assignments);
+        }
+    }
+    return decisions;
+}
+
+void dispatcher::release(
+    time_point, upstream_id const& target, duration service_time)
+{
+    auto& self = *m_implementation;
+    auto const found = self.m_upstreams.find(target);
+    if (found == self.m_upstreams.end() || found->second.m_in_flight == 0)
+    {
+        return;
+    }
+    upstream_slots& slots = found->second;
+    service_queue& service = *slots.m_service;
+    --slots.m_in_flight;
+    --service.m_in_flight;
+    double const seconds = std::chrono::duration<double>(service_time).count();
+    double const mean = service.m_service_time_s.value_or(seconds);
+    service.m_service_time_s = mean + service_time_gain * (seconds - mean);
+    if (!slots.m_listed && slots.m_in_flight == 0)
+    {
+        self.m_upstreams.erase(found);
+    }
+}
+
+void dispatcher::report_shed(time_point now, upstream_id const& target)
+{
+    auto& self = *m_implementation;
+    auto const found = self.m_upstreams.find(target);
+    if (found == self.m_upstreams.end())
+    {
+        return;
+    }
+    upstream_slots& slots = found->second;
+    slots.m_shed_until = now + shed_memory;
+    slots.m_limit_after_shed =
+        std::max<std::uint32_t>(1, slots.m_upstream.m_slots / 2);
+}
+
+// The reported load includes this VM's own attempts.
+void dispatcher::report_load(
+    time_point now,
+    upstream_id const& target,
+    std::uint32_t in_use,
+    std::uint32_t slots)
+{
+    auto& self = *m_implementation;
+    auto const found = self.m_upstreams.find(target);
+    if (found == self.m_upstreams.end() || slots == 0)
+    {
+        return;
+    }
+    upstream_slots& record = found->second;
+    double const others =
+        static_cast<double>(in_use) - static_cast<double>(record.m_in_flight);
+    record.m_hinted_others = std::max(others, 0.0);
+    record.m_hint_until = now + load_memory;
+}
+
+time_point dispatcher::next_poll() const
+{
+    auto const& self = *m_implementation;
+    time_point next = time_point::max();
+    for (auto const& [name, service] : self.m_services)
+    {
+        if (service.m_queue.size() > 0)
+        {
+            next = std::min(next, self.m_last_poll + poll_interval);
+            next = std::min(next, service.m_deadlines.begin()->first);
+        }
+    }
+    return next;
+}
+
+std::vector<dispatcher::service_status> dispatcher::status() const
+{
+    std::vector<service_status> result;
+    for (auto const& [name, service] : m_implementation->m_services)
+    {
+        result.push_back({name, service.m_queue.size(), service.m_in_flight});
+    }
+    return result;
+}
+
+} // namespace briarhub
--- a/src/dispatcher.hpp
+++ b/src/dispatcher.hpp
@@ -25,6 +25,8 @@
     time_point m_deadline{};
     /// Upstreams that this request was given to before.
     std::vector<upstream_id> m_exclude;
+    /// Share of the round that it takes, relative to a usual request.
+    double m_cost = 1.0;
 };
 
 struct assignment
--- /dev/null
+++ b/src/fair_queue.cpp
@@ -0,0 +1,144 @@
+#include "fair_queue.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace briarhub
+{
+namespace
+{
+
+/// Cost that each account may spend in one round.
+constexpr double quantum = 1.0;
+
+} // namespace
+
+fair_queue::fair_queue(std::size_t account_limit)
+    : m_account_limit{account_limit}
+{
+}
+
+bool fair_queue::push(queued_request request)
+{
+    auto const found = m_accounts.find(request.m_account);
+    if (found != m_accounts.end() &&
+        found->second.m_requests.size() >= m_account_limit)
+    {
+        return false;
+    }
+    activate(request.m_account);
+    m_accounts[request.m_account].m_requests.push_back(std::move(request));
+    ++m_size;
+    return true;
+}
+
+void fair_queue::push_front(queued_request request)
+{
+    activate(request.m_account);
+    m_accounts[request.m_account].m_requests.push_front(std::move(request));
+    ++m_size;
+}
+
+// The account at the head of the round is served while its deficit covers the
+// next request. An account whose request is not accepted keeps its place in
+// the next round but cannot block the others.
+std::optional<queued_request>
+fair_queue::pop(std::function<bool(queued_request const&)> const& accept)
+{
+    std::size_t rejected = 0;
+    while (rejected < m_round.size())
+    {
+        account_name const account = m_round.front();
+        account_queue& queue = m_accounts[account];
+        if (!queue.m_granted)
+        {
+            queue.m_deficit += quantum;
+            queue.m_granted = true;
+        }
+        if (queue.m_requests.front().m_cost > queue.m_deficit)
+        {
+            rotate();
+            continue;
+        }
+        if (accept(queue.m_requests.front()))
+        {
+            return take_head(account);
+        }
+        // Credit is not saved up while a request cannot be placed.
+        queue.m_deficit = std::min(queue.m_deficit, quantum);
+        ++rejected;
+        rotate();
+    }
+    return std::nullopt;
+}
+
+bool fair_queue::remove(account_name const& account, request_ticket ticket)
+{
+    auto const found = m_accounts.find(account);
+    if (found == m_accounts.end())
+    {
+        return false;
+    }
+    auto& requests = found->second.m_requests;
+    auto const item =
+        std::ranges::find(requests, ticket, &queued_request::m_ticket);
+    if (item == requests.end())
+    {
+        return false;
+    }
+    requests.erase(item);
+    --m_size;
+    if (requests.empty())
+    {
+        m_accounts.erase(found);
+        m_round.remove(account);
+    }
+    return true;
+}
+
+std::size_t fair_queue::ahead_of(account_name const& account) const
+{
+    auto const own = m_accounts.find(account);
+    std::size_t const place =
+        own == m_accounts.end() ? 0 : own->second.m_requests.size();
+    std::size_t ahead = place;
+    for (auto const& [name, queue] : m_accounts)
+    {
+        if (name != account)
+        {
+            ahead += std::min(queue.m_requests.size(), place + 1);
+        }
+    }
+    return ahead;
+}
+
+void fair_queue::activate(account_name const& account)
+{
+    if (m_accounts.try_emplace(account).second)
+    {
+        m_round.push_back(account);
+    }
+}
+
+queued_request fair_queue::take_head(account_name const& account)
+{
+    account_queue& queue = m_accounts[account];
+    queued_request taken = std::move(queue.m_requests.front());
+    queue.m_requests.pop_front();
+    queue.m_deficit -= taken.m_cost;
+    --m_size;
+    if (queue.m_requests.empty())
+    {
+        m_accounts.erase(account);
+        m_round.remove(account);
+    }
+    return taken;
+}
+
+void fair_queue::rotate()
+{
+    m_accounts[m_round.front()].m_granted = false;
+    m_round.splice(m_round.end(), m_round, m_round.begin());
+}
+
+} // namespace briarhub
--- a/src/retry_budget.hpp
+++ b/src/retry_budget.hpp
@@ -6,14 +6,28 @@
 
 #include "types.hpp"
 
+#include <cstddef>
 #include <map>
 
 namespace briarhub
 {
 
+/// Share of the service's requests that may be retries.
+inline constexpr double retries_per_request = 0.1;
+
+/// Retries per second that the whole fleet may make besides, so that a service
+/// with little traffic can retry at all.
+inline constexpr double retries_per_second = 3.0;
+
+/// Most retries that this VM may make at once after a quiet time.
+inline constexpr double retry_burst = 10.0;
+
 class retry_budget
 {
 public:
+    /// Number of VMs that share `retries_per_second`; 1 until set.
+    void set_members(std::size_t members);
+
     /// A first attempt; earns a tenth of a retry.
     void request_started(time_point now, service_name const& service);
 
@@ -31,6 +45,7 @@
     bucket& refill(time_point now, service_name const& service);
 
     std::map<service_name, bucket> m_buckets;
+    std::size_t m_members = 1;
 };
 
 } // namespace briarhub
--- /dev/null
+++ b/src/service_baseline.cpp
@@ -0,0 +1,82 @@
+#include "service_baseline.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace briarhub
+{
+namespace
+{
+
+constexpr std::chrono::seconds rate_memory{60};
+
+/// Standard deviations between the measured ratio and the bound used.
+constexpr double confidence = 2.0;
+
+/// At this ratio bad outcomes are so usual that they tell nothing.
+constexpr double largest_ratio = 0.9;
+
+double seconds(duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+double fading(duration age)
+{
+    return std::exp(-std::max(seconds(age), 0.0) / seconds(rate_memory));
+}
+
+} // namespace
+
+void fading_counts::add(double position, double window, outcome_counts counts)
+{
+    m_counts = read(position, window);
+    m_counts.m_total += counts.m_total;
+    m_counts.m_bad += counts.m_bad;
+    m_position = position;
+}
+
+outcome_counts fading_counts::read(double position, double window) const
+{
+    double const factor = std::exp((m_position - position) / window);
+    return {m_counts.m_total * factor, m_counts.m_bad * factor};
+}
+
+void outcome_rate::add(time_point now, double outcomes)
+{
+    if (!m_started)
+    {
+        m_started = true;
+        m_since = now;
+        m_updated = now;
+    }
+    m_faded = m_faded * fading(now - m_updated) + outcomes;
+    m_updated = std::max(now, m_updated);
+}
+
+double outcome_rate::per_hour(time_point now) const
+{
+    if (!m_started)
+    {
+        return 0.0;
+    }
+    // Before `rate_memory` has passed, the average covers less time.
+    double const covered =
+        1.0 - fading(now - m_since + std::chrono::seconds{1});
+    double const average_s = seconds(rate_memory) * covered;
+    return m_faded * fading(now - m_updated) / average_s * 3600.0;
+}
+
+double healthy_ratio(outcome_counts others, double least_ratio)
+{
+    if (others.m_total < 1.0)
+    {
+        return least_ratio;
+    }
+    double const bound =
+        others.m_bad - confidence * std::sqrt(std::max(others.m_bad, 0.0));
+    return std::clamp(bound / others.m_total, least_ratio, largest_ratio);
+}
+
+} // namespace briarhub
--- /dev/null
+++ b/src/service_baseline.hpp
@@ -0,0 +1,58 @@
+#ifndef BRIARHUB_SERVICE_BASELINE_HPP
+#define BRIARHUB_SERVICE_BASELINE_HPP
+
+/// What is usual in a service at present: ratio of bad outcomes and number of
+/// outcomes. An upstream is compared with the others of its service, so that
+/// trouble common to all of them is evidence against none.
+
+#include "types.hpp"
+
+#include <cstdint>
+
+namespace briarhub
+{
+
+/// Outcomes of one kind of test.
+struct outcome_counts
+{
+    double m_total = 0.0;
+    double m_bad = 0.0;
+};
+
+/// Counts that fade with the number of the service's outcomes and not with
+/// time, so that the ratio follows a change equally fast at any load.
+class fading_counts
+{
+public:
+    void add(double position, double window, outcome_counts counts);
+
+    [[nodiscard]] outcome_counts read(double position, double window) const;
+
+private:
+    outcome_counts m_counts;
+    double m_position = 0.0; ///< number of service outcomes at the update
+};
+
+/// Outcomes per hour, averaged over `rate_memory`.
+class outcome_rate
+{
+public:
+    void add(time_point now, double outcomes);
+
+    [[nodiscard]] double per_hour(time_point now) const;
+
+private:
+    double m_faded = 0.0;
+    time_point m_updated{};
+    time_point m_since{};
+    bool m_started = false;
+};
+
+/// Healthy ratio of bad outcomes, from the counts of a service's other
+/// upstreams. The lower confidence bound keeps single bad outcomes at low
+/// traffic from hiding a sick upstream.
+double healthy_ratio(outcome_counts others, double least_ratio);
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/suspect_requests.cpp
@@ -0,0 +1,81 @@
+#include "suspect_requests.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace briarhub
+{
+namespace
+{
+
+bool is_old(time_point now, time_point last_crash)
+{
+    return now - last_crash >= suspect_retention;
+}
+
+} // namespace
+
+void suspect_requests::report_crash(time_point now, std::string const& digest)
+{
+    forget_old(now);
+    entry& suspect = m_entries[digest];
+    ++suspect.m_crashes;
+    ++suspect.m_unreported;
+    suspect.m_last_crash = now;
+}
+
+// Peers report the crashes that they saw themselves, so counts add up and a
+// crash is counted once.
+void suspect_requests::receive(
+    time_point now, std::span<suspect_request const> items)
+{
+    forget_old(now);
+    for (suspect_request const& item : items)
+    {
+        entry& suspect = m_entries[item.m_digest];
+        suspect.m_crashes += std::min(item.m_crashes, suspect_crash_limit);
+        suspect.m_last_crash = now;
+    }
+}
+
+bool suspect_requests::is_refused(
+    time_point now, std::string const& digest) const
+{
+    auto const found = m_entries.find(digest);
+    return found != m_entries.end() &&
+           !is_old(now, found->second.m_last_crash) &&
+           found->second.m_crashes >= suspect_crash_limit;
+}
+
+bool suspect_requests::is_suspect(
+    time_point now, std::string const& digest) const
+{
+    auto const found = m_entries.find(digest);
+    return found != m_entries.end() && !is_old(now, found->second.m_last_crash);
+}
+
+std::vector<suspect_request> suspect_requests::take_news(time_point now)
+{
+    forget_old(now);
+    std::vector<suspect_request> news;
+    for (auto& [digest, suspect] : m_entries)
+    {
+        if (suspect.m_unreported > 0)
+        {
+            news.push_back({digest, std::exchange(suspect.m_unreported, 0)});
+        }
+    }
+    return news;
+}
+
+void suspect_requests::forget_old(time_point now)
+{
+    std::erase_if(
+        m_entries,
+        [&](auto const& item)
+        {
+            return is_old(now, item.second.m_last_crash);
+        });
+}
+
+} // namespace briarhub
--- a/src/suspect_requests.hpp
+++ b/src/suspect_requests.hpp
@@ -48,7 +48,7 @@
     {
         std::uint32_t m_crashes = 0;
         time_point m_last_crash{};
-        bool m_is_news = false;
+        std::uint32_t m_unreported = 0; ///< own crashes, not yet news
     };
 
     void forget_old(time_point now);
