--- /dev/null
+++ b/src/demand_rate.cpp
@@ -0,0 +1,90 @@
+#include "demand_rate.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace briarhub
+{
+namespace
+{
+
+/// Part of the averaging window that does not depend on the account, seconds.
+constexpr double min_window = 0.5;
+
+/// Requests at the account's full rate that the window covers in addition.
+constexpr double window_requests = 10.0;
+
+/// Assumed age of a new estimate in requests at the account's rate, so that
+/// the first request does not count as an infinite rate.
+constexpr double initial_requests = 2.0;
+constexpr double initial_age = 0.1; ///< seconds
+
+/// Messages per second that wrong guesses about idleness may cost.
+constexpr double wrong_guess_budget = 0.5;
+constexpr double max_idle_gaps = 8.0; ///< mean gaps between requests
+
+double seconds_between(time_point from, time_point to)
+{
+    return std::chrono::duration<double>(to - from).count();
+}
+
+} // namespace
+
+demand_rate::demand_rate(double account_rate) : m_account_rate{account_rate}
+{
+}
+
+double demand_rate::window() const
+{
+    return min_window + window_requests / std::max(m_account_rate, 1.0);
+}
+
+void demand_rate::arrived(time_point now)
+{
+    if (!m_first)
+    {
+        m_first = now;
+        m_last = now;
+        m_count = 0.0;
+    }
+    double const gap = std::max(0.0, seconds_between(m_last, now));
+    m_count = m_count * std::exp(-gap / window()) + 1.0;
+    m_last = std::max(m_last, now);
+}
+
+double demand_rate::at(time_point now) const
+{
+    if (!m_first)
+    {
+        return 0.0;
+    }
+    double const start =
+        initial_age + initial_requests / std::max(m_account_rate, 1.0);
+    double const age = start + seconds_between(*m_first, now);
+    double const covered = window() * (1.0 - std::exp(-age / window()));
+    double const gap = std::max(0.0, seconds_between(m_last, now));
+    double const count = m_count * std::exp(-gap / window());
+    return std::min(m_account_rate, count / covered);
+}
+
+time_point demand_rate::idle_at(double cost) const
+{
+    if (!m_first)
+    {
+        return time_point{};
+    }
+    // Gaps are taken as exponential: a gap of g means happens with the
+    // probability exp(-g), `rate` times a second.
+    double const rate = std::max(at(m_last), 0.1);
+    double const gaps = std::clamp(
+        std::log(rate * cost / wrong_guess_budget), 1.0, max_idle_gaps);
+    return m_last + duration{std::int64_t(gaps / rate * 1e9)};
+}
+
+void demand_rate::reset()
+{
+    m_first.reset();
+    m_count = 0.0;
+}
+
+} // namespace briarhub
--- /dev/null
+++ b/src/demand_rate.hpp
@@ -0,0 +1,43 @@
+#ifndef BRIARHUB_DEMAND_RATE_HPP
+#define BRIARHUB_DEMAND_RATE_HPP
+
+/// Estimate of the recent rate of requests of one account at this VM.
+
+#include "clock.hpp"
+
+#include <optional>
+
+namespace briarhub
+{
+
+class demand_rate
+{
+public:
+    /// `account_rate` in requests per second sets the length of the window
+    /// and caps the estimate.
+    explicit demand_rate(double account_rate);
+
+    void arrived(time_point now);
+
+    /// Requests per second.
+    [[nodiscard]] double at(time_point now) const;
+
+    /// When a missing next request means that the traffic went away.
+    /// `cost` is the number of messages that a wrong guess would cost.
+    [[nodiscard]] time_point idle_at(double cost) const;
+
+    /// Forgets the history; the next request starts a new estimate.
+    void reset();
+
+private:
+    [[nodiscard]] double window() const; ///< seconds
+
+    double m_account_rate = 0.0;
+    std::optional<time_point> m_first;
+    time_point m_last{};
+    double m_count = 0.0; ///< requests, decayed since `m_last`
+};
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/loan_planner.cpp
@@ -0,0 +1,390 @@
+#include "loan_planner.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace briarhub
+{
+namespace
+{
+
+/// Requests counted as waiting at most; more would not change what is asked.
+constexpr std::size_t max_waiting = 64;
+
+/// Surplus of a wanted amount that covers rounding.
+constexpr double token_slack = 1e-4;
+
+/// Limits of the time for which a lender that had too little is not asked.
+constexpr std::chrono::milliseconds min_refusal_pause{30};
+constexpr std::chrono::milliseconds max_refusal_pause{300};
+
+/// Pause between two looks at work that a limit postponed.
+constexpr std::chrono::milliseconds plan_interval{20};
+
+/// Messages of a loan that is returned by mistake and requested again.
+constexpr double messages_per_loan = 3.0;
+
+double to_seconds(duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+} // namespace
+
+loan_planner::loan_planner(
+    account_config const& account, loan_policy const& policy)
+    : m_rate{account.m_rate}, m_burst{account.m_burst},
+      m_demand{account.m_rate}, m_policy{policy}
+{
+}
+
+void loan_planner::set_lenders(
+    std::vector<vm_id> lenders, std::size_t home_count)
+{
+    m_lenders = std::move(lenders);
+    m_home_count = home_count;
+}
+
+void loan_planner::arrived(time_point now)
+{
+    m_demand.arrived(now);
+}
+
+void loan_planner::add_waiting(time_point since)
+{
+    if (m_waiting.size() < max_waiting)
+    {
+        m_waiting.push_back(since);
+    }
+}
+
+void loan_planner::remove_waiting(time_point since)
+{
+    auto const found = std::find(m_waiting.begin(), m_waiting.end(), since);
+    if (found != m_waiting.end())
+    {
+        m_waiting.erase(found);
+    }
+}
+
+double loan_planner::stock(std::chrono::milliseconds span, time_point now) const
+{
+    return double(m_waiting.size()) + m_demand.at(now) * to_seconds(span);
+}
+
+share_amount
+loan_planner::own_need(account_share const& share, time_point now) const
+{
+    if (is_idle(share, now))
+    {
+        return {};
+    }
+    double const fraction =
+        std::min(1.0, m_policy.m_held_demand * m_demand.at(now) / m_rate);
+    return {fraction, stock(m_policy.m_low_stock, now)};
+}
+
+void loan_planner::plan(account_share& share, loan_context& context)
+{
+    forget_old(share, context.m_now);
+    if (is_idle(share, context.m_now))
+    {
+        m_demand.reset();
+        return_all(share, context);
+        return;
+    }
+    renew_or_return(share, context);
+    return_excess(share, context);
+    borrow(share, context);
+}
+
+/// Waiting requests that were given up without a word, and replies that would
+/// come too late to be of use.
+void loan_planner::forget_old(account_share const&, time_point now)
+{
+    std::erase_if(
+        m_waiting,
+        [now](time_point since)
+        {
+            return since + admission_wait < now;
+        });
+    std::erase_if(
+        m_pending,
+        [now](auto const& entry)
+        {
+            return entry.second.m_sent_at + loan_duration <= now;
+        });
+}
+
+time_point loan_planner::idle_at(account_share const& share) const
+{
+    double const loans = double(share.borrowed_loans().size());
+    return m_demand.idle_at(messages_per_loan * std::max(1.0, loans));
+}
+
+bool loan_planner::is_idle(account_share const& share, time_point now) const
+{
+    return m_waiting.empty() && now >= idle_at(share);
+}
+
+void loan_planner::return_all(account_share& share, loan_context& context)
+{
+    while (!share.borrowed_loans().empty())
+    {
+        give_back(share, share.borrowed_loans().begin()->first, 0.0, context);
+    }
+}
+
+/// A return is sent even when the message limit is reached: it is the last
+/// message of its loan, and each loan passed the limit when it was requested.
+void loan_planner::give_back(
+    account_share& share, loan_id id, double kept_tokens, loan_context& context)
+{
+    vm_id const lender = share.borrowed_loans().at(id).m_lender;
+    auto const [fraction, tokens] =
+        share.give_back(context.m_now, id, kept_tokens);
+    // A reply that is still under way must not revive the loan.
+    std::erase_if(
+        m_pending,
+        [id = id](auto const& entry)
+        {
+            return entry.second.m_renewed_loan == id;
+        });
+    context.m_outgoing.push_back(
+        {lender, loan_return{share.config().m_name, id, fraction, tokens}});
+}
+
+void loan_planner::return_excess(account_share& share, loan_context& context)
+{
+    share_amount const need = own_need(share, context.m_now);
+    double const kept_fraction = need.m_fraction * m_policy.m_return_above;
+    double const kept_tokens = stock(m_policy.m_batch, context.m_now);
+    std::vector<loan_id> excess;
+    double fraction = share.fraction();
+    for (auto const& [id, loan] : share.borrowed_loans())
+    {
+        double const rest = fraction - loan.m_fraction;
+        bool const has_tokens =
+            share.tokens() - kept_tokens >= loan.m_fraction * m_burst;
+        if (rest >= kept_fraction && has_tokens)
+        {
+            excess.push_back(id);
+            fraction = rest;
+        }
+    }
+    for (loan_id const id : excess)
+    {
+        give_back(share, id, kept_tokens, context);
+    }
+}
+
+void loan_planner::renew_or_return(account_share& share, loan_context& context)
+{
+    time_point const now = context.m_now;
+    std::vector<std::pair<loan_id, vm_id>> due;
+    for (auto const& [id, loan] : share.borrowed_loans())
+    {
+        if (loan.m_end - renewal_lead <= now && !is_asked(loan.m_lender, now))
+        {
+            due.emplace_back(id, loan.m_lender);
+        }
+    }
+    for (auto const& [id, lender] : due)
+    {
+        ask(share, lender, {}, context);
+    }
+}
+
+bool loan_planner::is_asked(vm_id const& lender, time_point now) const
+{
+    return std::any_of(
+        m_pending.begin(),
+        m_pending.end(),
+        [&](auto const& entry)
+        {
+            return entry.second.m_lender == lender &&
+                   entry.second.m_sent_at + reply_timeout > now;
+        });
+}
+
+share_amount loan_planner::pending(time_point now) const
+{
+    share_amount sum;
+    for (auto const& [id, request] : m_pending)
+    {
+        if (request.m_sent_at + reply_timeout > now)
+        {
+            sum.m_fraction += request.m_wanted.m_fraction;
+            sum.m_tokens += request.m_wanted.m_tokens;
+        }
+    }
+    return sum;
+}
+
+std::vector<vm_id> loan_planner::usable_lenders(loan_context& context) const
+{
+    std::vector<vm_id> usable;
+    for (vm_id const& lender : m_lenders)
+    {
+        auto const refused = m_refused_until.find(lender);
+        bool const pauses =
+            refused != m_refused_until.end() && refused->second > context.m_now;
+        if (!pauses && !is_asked(lender, context.m_now))
+        {
+            usable.push_back(lender);
+        }
+    }
+    std::shuffle(usable.begin(), usable.end(), context.m_random);
+    return usable;
+}
+
+void loan_planner::borrow(account_share& share, loan_context& context)
+{
+    time_point const now = context.m_now;
+    share_amount const expected = pending(now);
+    share_amount const need = own_need(share, now);
+    double const tokens = share.tokens() + expected.m_tokens;
+    double fraction = need.m_fraction - share.fraction() - expected.m_fraction;
+    bool const lacks_tokens = tokens < need.m_tokens;
+    bool const lacks_fraction = fraction > 0.25 * need.m_fraction;
+    if (!lacks_tokens && !lacks_fraction)
+    {
+        return;
+    }
+    double missing = 0.0;
+    if (lacks_tokens)
+    {
+        double const batch = std::max(1.0, stock(m_policy.m_batch, now));
+        missing = std::max(0.0, batch - tokens + token_slack);
+    }
+    double const home_fraction =
+        1.0 / double(std::max<std::size_t>(1, m_home_count));
+    std::size_t asked = 0;
+    for (vm_id const& lender : usable_lenders(context))
+    {
+        bool const enough = missing <= 0.0 && fraction <= 0.0;
+        if (asked == m_policy.m_lenders || enough)
+        {
+            return;
+        }
+        share_amount const wanted{
+            std::clamp(fraction, 0.0, home_fraction),
+            std::clamp(missing, 0.0, home_fraction * m_burst)};
+        if (!ask(share, lender, wanted, context))
+        {
+            return;
+        }
+        fraction -= wanted.m_fraction;
+        missing -= wanted.m_tokens;
+        ++asked;
+    }
+}
+
+bool loan_planner::may_send(loan_context& context)
+{
+    m_messages.set_limits(
+        context.m_now,
+        m_policy.m_account_messages_per_second,
+        m_policy.m_account_message_burst);
+    if (m_messages.level() < 1.0 || !context.m_messages.take())
+    {
+        return false;
+    }
+    return m_messages.take();
+}
+
+/// Requests a loan, or an addition to the present loan of the same lender.
+bool loan_planner::ask(
+    account_share const& share,
+    vm_id const& lender,
+    share_amount const& wanted,
+    loan_context& context)
+{
+    if (!may_send(context))
+    {
+        return false;
+    }
+    loan_id renewed = 0;
+    for (auto const& [id, loan] : share.borrowed_loans())
+    {
+        renewed = loan.m_lender == lender ? id : renewed;
+    }
+    std::uint64_t const id = context.m_next_id++;
+    m_pending[id] = {lender, renewed, context.m_now, wanted};
+    context.m_outgoing.push_back(
+        {lender,
+         loan_request{
+             share.config().m_name,
+             id,
+             renewed,
+             wanted.m_fraction,
+             wanted.m_tokens}});
+    return true;
+}
+
+void loan_planner::receive(
+    account_share& share,
+    time_point now,
+    vm_id const& from,
+    loan_reply const& reply)
+{
+    auto const found = m_pending.find(reply.m_request_id);
+    if (found == m_pending.end() || found->second.m_lender != from)
+    {
+        return;
+    }
+    pending_request const request = found->second;
+    m_pending.erase(found);
+    bool const is_short =
+        reply.m_loan_id == 0 ||
+        reply.m_tokens + 2 * token_slack < request.m_wanted.m_tokens;
+    if (is_short)
+    {
+        double const refill = double(m_home_count) / std::max(m_rate, 1e-3);
+        duration const pause{std::int64_t(refill * 0.5e9)};
+        m_refused_until[from] =
+            now +
+            std::clamp<duration>(pause, min_refusal_pause, max_refusal_pause);
+    }
+    if (reply.m_loan_id == 0)
+    {
+        return;
+    }
+    auto const known = share.borrowed_loans().find(reply.m_loan_id);
+    bool const is_known = known != share.borrowed_loans().end();
+    bool const is_renewal = request.m_renewed_loan != 0;
+    bool const matches =
+        is_renewal ? is_known && reply.m_loan_id == request.m_renewed_loan
+                   : !is_known;
+    auto const span = std::min<duration>(reply.m_duration, loan_duration);
+    time_point const end = request.m_sent_at + span;
+    if (!matches || end <= now)
+    {
+        return;
+    }
+    share.add_borrowed(
+        now, reply.m_loan_id, from, {reply.m_fraction, reply.m_tokens}, end);
+}
+
+std::optional<time_point>
+loan_planner::next_plan(account_share const& share, time_point now) const
+{
+    bool const is_quiet = share.borrowed_loans().empty() && m_waiting.empty() &&
+                          m_pending.empty();
+    if (is_quiet && is_idle(share, now))
+    {
+        return std::nullopt;
+    }
+    time_point next = std::max(idle_at(share), now + plan_interval);
+    for (auto const& [id, loan] : share.borrowed_loans())
+    {
+        next = std::min(next, loan.m_end - renewal_lead);
+    }
+    for (auto const& [id, request] : m_pending)
+    {
+        next = std::min(next, request.m_sent_at + reply_timeout);
+    }
+    return std::max(next, now + plan_interval);
+}
+
+} // namespace briarhub
--- /dev/null
+++ b/src/loan_planner.hpp
@@ -0,0 +1,117 @@
+#ifndef BRIARHUB_LOAN_PLANNER_HPP
+#define BRIARHUB_LOAN_PLANNER_HPP
+
+/// Decides for one account when to borrow, from whom, and when to return.
+
+#include "account_share.hpp"
+#include "demand_rate.hpp"
+#include "rate_share.hpp"
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <vector>
+
+namespace briarhub
+{
+
+/// A request without reply for this long counts as lost; a reply that comes
+/// later is still taken.
+inline constexpr std::chrono::milliseconds reply_timeout{100};
+
+/// Renewal starts this long before the end of a loan, which leaves time for
+/// several attempts.
+inline constexpr std::chrono::milliseconds renewal_lead{1000};
+
+struct pending_request
+{
+    vm_id m_lender;
+    loan_id m_renewed_loan = 0;
+    time_point m_sent_at{};
+    share_amount m_wanted;
+};
+
+/// What the planner needs besides the account itself.
+struct loan_context
+{
+    time_point m_now{};
+    loan_policy const& m_policy;
+    token_bucket& m_messages; ///< limits the VM's loan messages
+    std::uint64_t& m_next_id;
+    std::mt19937_64& m_random;
+    std::vector<addressed_loan_message>& m_outgoing;
+};
+
+class loan_planner
+{
+public:
+    loan_planner(account_config const& account, loan_policy const& policy);
+
+    /// Other homes, as possible lenders.
+    void set_lenders(std::vector<vm_id> lenders, std::size_t home_count);
+
+    /// A request arrived.
+    void arrived(time_point now);
+
+    /// A request found no token and waits from `since` on.
+    void add_waiting(time_point since);
+    void remove_waiting(time_point since);
+
+    /// What this VM's own requests need; the rest may be lent.
+    [[nodiscard]] share_amount
+    own_need(account_share const& share, time_point now) const;
+
+    void plan(account_share& share, loan_context& context);
+
+    void receive(
+        account_share& share,
+        time_point now,
+        vm_id const& from,
+        loan_reply const& reply);
+
+    /// Nullopt if there is nothing to do without new events.
+    [[nodiscard]] std::optional<time_point>
+    next_plan(account_share const& share, time_point now) const;
+
+private:
+    void forget_old(account_share const& share, time_point now);
+    void return_all(account_share& share, loan_context& context);
+    void return_excess(account_share& share, loan_context& context);
+    void renew_or_return(account_share& share, loan_context& context);
+    void borrow(account_share& share, loan_context& context);
+    void give_back(
+        account_share& share,
+        loan_id id,
+        double kept_tokens,
+        loan_context& context);
+    bool
+    ask(account_share const& share,
+        vm_id const& lender,
+        share_amount const& wanted,
+        loan_context& context);
+    bool may_send(loan_context& context);
+    [[nodiscard]] std::vector<vm_id>
+    usable_lenders(loan_context& context) const;
+    [[nodiscard]] share_amount pending(time_point now) const;
+    [[nodiscard]] bool is_asked(vm_id const& lender, time_point now) const;
+    [[nodiscard]] bool
+    is_idle(account_share const& share, time_point now) const;
+    [[nodiscard]] time_point idle_at(account_share const& share) const;
+    [[nodiscard]] double
+    stock(std::chrono::milliseconds span, time_point now) const;
+
+    double m_rate = 0.0;
+    double m_burst = 0.0;
+    demand_rate m_demand;
+    loan_policy m_policy;
+    token_bucket m_messages;
+    std::size_t m_home_count = 0;
+    std::vector<vm_id> m_lenders;
+    std::map<vm_id, time_point> m_refused_until;
+    std::map<std::uint64_t, pending_request> m_pending;
+    std::vector<time_point> m_waiting;
+};
+
+} // namespace briarhub
+
+#endif
--- a/src/rate_share.hpp
+++ b/src/rate_share.hpp
@@ -5,6 +5,7 @@
 /// move shares between VMs. Pure: no I/O, reads no clock.
 
 #include "config.hpp"
+#include "freshness.hpp"
 #include "types.hpp"
 
 #include <chrono>
@@ -27,15 +28,22 @@
 /// A request without a token waits at most this long for a loan.
 inline constexpr std::chrono::milliseconds admission_wait{50};
 
+/// Increases of a base wait this long after the version that causes them is
+/// stable: until then a VM with an older view may admit, and its loans run.
+inline constexpr std::chrono::milliseconds rebalance_delay =
+    freshness_window + loan_duration + loan_margin;
+
+/// Asks for a new loan, or renews one and adds to it.
 struct loan_request
 {
     account_name m_account;
     std::uint64_t m_request_id = 0;
-    double m_fraction = 0.0; ///< of the account's rate and burst
-    double m_tokens = 0.0;   ///< requests
+    std::uint64_t m_renewed_loan = 0; ///< 0: a new loan
+    double m_fraction = 0.0;          ///< of the account's rate and burst
+    double m_tokens = 0.0;            ///< requests
 };
 
-/// A fraction of zero with no tokens refuses the loan.
+/// Grants a loan, or an addition to the renewed one. Loan id 0 refuses.
 struct loan_reply
 {
     account_name m_account;
@@ -77,6 +85,27 @@
     duration m_retry_after{}; ///< for `refused`: when a token is expected
 };
 
+/// When and how much a VM borrows. None of this affects the bound.
+struct loan_policy
+{
+    /// Fraction held, as a multiple of the fraction that demand uses.
+    double m_held_demand = 0.9;
+    /// A loan is returned when the rest still is this multiple of the need.
+    double m_return_above = 1.3;
+    /// A loan is requested when the tokens last for less than this.
+    std::chrono::milliseconds m_low_stock{40};
+    /// Tokens requested last for this long.
+    std::chrono::milliseconds m_batch{300};
+    /// Lenders asked at once.
+    std::size_t m_lenders = 6;
+    /// Loan messages that a VM sends for one account.
+    double m_account_messages_per_second = 8.0;
+    double m_account_message_burst = 40.0;
+    /// Loan messages that a VM sends in all.
+    double m_messages_per_second = 12.0;
+    double m_message_burst = 80.0;
+};
+
 class rate_share
 {
 public:
@@ -85,16 +114,24 @@
     {
         control_version m_version = 0;
         std::vector<member> m_members;
+        /// No version before this one had members.
+        bool m_is_first = false;
+        /// Versions since the last view were skipped (a snapshot was taken
+        /// over), and with them perhaps smaller bases.
+        bool m_has_gap = false;
     };
 
     /// `seed` drives the random choice of lenders.
-    rate_share(member self, std::uint64_t seed);
+    rate_share(member self, std::uint64_t seed, loan_policy const& policy = {});
     ~rate_share();
     rate_share(rate_share&&) noexcept;
     rate_share& operator=(rate_share&&) noexcept;
 
-    /// Adds or changes an account.
-    void put_account(time_point now, account_config const& account);
+    /// Adds or changes an account. `version` is the control version that did
+    /// it: the number of homes depends on the burst, so that an increase of
+    /// the base has to wait for this version like one of the member list.
+    void put_account(
+        time_point now, account_config const& account, control_version version);
     void remove_account(time_point now, account_name const& name);
 
     /// A newer member list. Decreases of the base apply at once.
@@ -104,6 +141,11 @@
     /// after the rebalance delay.
     void set_stable(time_point now, control_version version);
 
+    /// Loans are granted and renewed only before this time, by default never.
+    /// A lender with an outdated view must not lend a base that has been
+    /// reassigned. The caller checks the same time before `try_admit`.
+    void set_valid_until(time_point valid_until);
+
     /// Takes a token or says when to ask again. `waited_since` is the time of
     /// the request's first attempt; nullopt on the first attempt itself.
     admission try_admit(
