--- /dev/null
+++ b/src/briar_bench_main.cpp
@@ -0,0 +1,105 @@
+/// briar-bench: runs decision modules on seeded inputs under a passed-in time
+/// and prints figures and their signature.
+
+#include "bench_result.hpp"
+#include "rate_bench.hpp"
+
+#include <cxxopts.hpp>
+#include <spdlog/fmt/fmt.h>
+
+#include <array>
+#include <cstdint>
+#include <exception>
+#include <iostream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace
+{
+
+using namespace briarhub;
+
+struct subcommand
+{
+    std::string_view m_name;
+    std::string_view m_text;
+    std::vector<bench_result> (*m_run)(std::uint64_t seed);
+};
+
+constexpr std::array subcommands{
+    subcommand{
+        "rates",
+        "refusals within rate, excess and messages of rate shares",
+        run_rate_bench},
+};
+
+subcommand const* find_subcommand(std::string_view name)
+{
+    for (subcommand const& candidate : subcommands)
+    {
+        if (candidate.m_name == name)
+        {
+            return &candidate;
+        }
+    }
+    return nullptr;
+}
+
+std::string usage(cxxopts::Options const& options)
+{
+    std::string text = options.help() + "\nSubcommands:\n";
+    for (subcommand const& entry : subcommands)
+    {
+        text += fmt::format("  {:<10} {}\n", entry.m_name, entry.m_text);
+    }
+    return text;
+}
+
+int run(int argc, char** argv)
+{
+    cxxopts::Options options{
+        "briar-bench", "Figures of the decision modules on seeded inputs"};
+    options.add_options()(
+        "subcommand", "what to run", cxxopts::value<std::string>())(
+        "seed",
+        "seed of all inputs",
+        cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "json", "print JSON")("help", "print help");
+    options.parse_positional({"subcommand"});
+    options.positional_help("SUBCOMMAND");
+    auto const arguments = options.parse(argc, argv);
+    if (arguments.count("help") != 0 || arguments.count("subcommand") == 0)
+    {
+        std::cout << usage(options);
+        return arguments.count("help") != 0 ? 0 : 2;
+    }
+    auto const name = arguments["subcommand"].as<std::string>();
+    subcommand const* const chosen = find_subcommand(name);
+    if (chosen == nullptr)
+    {
+        std::cerr << fmt::format("unknown subcommand: {}\n", name)
+                  << usage(options);
+        return 2;
+    }
+    auto const results = chosen->m_run(arguments["seed"].as<std::uint64_t>());
+    bool const is_json = arguments.count("json") != 0;
+    std::cout << (is_json ? to_json_text(results) + "\n" : to_table(results));
+    std::cout << fmt::format("signature: {}\n", signature(results));
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        return run(argc, argv);
+    }
+    catch (std::exception const& error)
+    {
+        std::cerr << fmt::format("briar-bench: {}\n", error.what());
+        return 2;
+    }
+}
--- /dev/null
+++ b/src/rate_bench.cpp
@@ -0,0 +1,586 @@
+#include "rate_bench.hpp"
+
+#include "token_bucket.hpp"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace briarhub
+{
+namespace
+{
+
+/// Start of all runs; not the epoch, which stands for "never".
+constexpr time_point start_time{std::chrono::hours{1}};
+
+} // namespace
+
+rate_fleet::rate_fleet(
+    std::size_t vms,
+    std::uint64_t seed,
+    network_conditions const& conditions,
+    loan_policy const& policy)
+    : m_conditions{conditions}, m_policy{policy}, m_random{seed},
+      m_now{start_time}, m_nodes(vms)
+{
+    for (std::size_t vm = 0; vm < vms; ++vm)
+    {
+        m_nodes[vm].m_self.m_vm = fmt::format("vm-{}", vm);
+        start(vm);
+    }
+}
+
+void rate_fleet::start(std::size_t vm)
+{
+    node& entry = m_nodes.at(vm);
+    entry.m_self.m_incarnation = m_random();
+    entry.m_share.emplace(entry.m_self, m_random(), m_policy);
+    entry.m_is_paused = false;
+    entry.m_is_dead = false;
+    entry.m_valid_until = time_point{};
+    entry.m_next_poll = time_point::max();
+    entry.m_deferred.clear();
+}
+
+std::size_t rate_fleet::size() const
+{
+    return m_nodes.size();
+}
+
+member const& rate_fleet::self(std::size_t vm) const
+{
+    return m_nodes.at(vm).m_self;
+}
+
+rate_share& rate_fleet::share(std::size_t vm)
+{
+    return *m_nodes.at(vm).m_share;
+}
+
+time_point rate_fleet::now() const
+{
+    return m_now;
+}
+
+void rate_fleet::restart(std::size_t vm)
+{
+    start(vm);
+}
+
+void rate_fleet::set_paused(std::size_t vm, bool is_paused)
+{
+    node& entry = m_nodes.at(vm);
+    entry.m_is_paused = is_paused;
+    if (!is_paused)
+    {
+        for (auto const& action : std::exchange(entry.m_deferred, {}))
+        {
+            run_at_vm(vm, action);
+        }
+    }
+}
+
+void rate_fleet::set_dead(std::size_t vm)
+{
+    m_nodes.at(vm).m_is_dead = true;
+}
+
+void rate_fleet::set_valid_until(std::size_t vm, time_point valid_until)
+{
+    m_nodes.at(vm).m_valid_until = valid_until;
+    share(vm).set_valid_until(valid_until);
+}
+
+void rate_fleet::at(time_point when, std::function<void()> action)
+{
+    m_events.push({when, m_next_order++, std::move(action)});
+}
+
+void rate_fleet::at_vm(
+    time_point when, std::size_t vm, std::function<void()> action)
+{
+    at(when,
+       [this, vm, action = std::move(action)]
+       {
+           run_at_vm(vm, action);
+       });
+}
+
+void rate_fleet::run_at_vm(std::size_t vm, std::function<void()> const& action)
+{
+    node& entry = m_nodes.at(vm);
+    if (entry.m_is_dead)
+    {
+        return;
+    }
+    if (entry.m_is_paused)
+    {
+        entry.m_deferred.push_back(action);
+        return;
+    }
+    action();
+    send_outgoing(vm);
+}
+
+void rate_fleet::add_request(bench_request request)
+{
+    std::size_t const index = m_requests.size();
+    time_point const when = request.m_arrived_at;
+    std::size_t const vm = request.m_vm;
+    m_requests.push_back(std::move(request));
+    at_vm(
+        when,
+        vm,
+        [this, index]
+        {
+            attempt(index, true);
+        });
+}
+
+void rate_fleet::attempt(std::size_t index, bool is_first)
+{
+    bench_request& request = m_requests[index];
+    node& entry = m_nodes[request.m_vm];
+    if (m_now >= entry.m_valid_until)
+    {
+        return;
+    }
+    std::optional<time_point> since;
+    if (!is_first)
+    {
+        since = request.m_arrived_at;
+    }
+    else
+    {
+        request.m_arrived_at = m_now;
+    }
+    auto const result =
+        entry.m_share->try_admit(m_now, request.m_account, since);
+    if (result.m_kind == admission_kind::admitted)
+    {
+        request.m_admitted_at = m_now;
+    }
+    if (result.m_kind == admission_kind::wait)
+    {
+        at_vm(
+            result.m_retry_at,
+            request.m_vm,
+            [this, index]
+            {
+                attempt(index, false);
+            });
+    }
+}
+
+void rate_fleet::send_outgoing(std::size_t vm)
+{
+    for (auto const& message : share(vm).poll(m_now))
+    {
+        send(vm, message);
+    }
+    schedule_poll(vm);
+}
+
+void rate_fleet::schedule_poll(std::size_t vm)
+{
+    node& entry = m_nodes[vm];
+    time_point const next = std::max(share(vm).next_poll(), m_now);
+    if (next == time_point::max() || next == entry.m_next_poll)
+    {
+        return;
+    }
+    entry.m_next_poll = next;
+    at(next,
+       [this, vm, next]
+       {
+           // A later call has planned another time meanwhile.
+           if (m_nodes[vm].m_next_poll == next)
+           {
+               m_nodes[vm].m_next_poll = time_point::max();
+               run_at_vm(
+                   vm,
+                   []
+                   {
+                   });
+           }
+       });
+}
+
+void rate_fleet::send(std::size_t from, addressed_loan_message const& message)
+{
+    ++m_messages;
+    auto const to = find(message.m_peer);
+    std::uniform_real_distribution<double> uniform{0.0, 1.0};
+    if (!to || uniform(m_random) < m_conditions.m_loss)
+    {
+        return;
+    }
+    int const copies = uniform(m_random) < m_conditions.m_duplicate ? 2 : 1;
+    addressed_loan_message const received{
+        m_nodes[from].m_self.m_vm, message.m_message};
+    for (int copy = 0; copy < copies; ++copy)
+    {
+        std::chrono::duration<double, std::micro> const jitter =
+            m_conditions.m_jitter * uniform(m_random);
+        auto const delay =
+            m_conditions.m_delay +
+            std::chrono::duration_cast<std::chrono::microseconds>(jitter);
+        at_vm(
+            m_now + delay,
+            *to,
+            [this, vm = *to, received]
+            {
+                share(vm).receive(m_now, received);
+            });
+    }
+}
+
+std::optional<std::size_t> rate_fleet::find(vm_id const& vm) const
+{
+    for (std::size_t i = 0; i < m_nodes.size(); ++i)
+    {
+        if (m_nodes[i].m_self.m_vm == vm)
+        {
+            return i;
+        }
+    }
+    return std::nullopt;
+}
+
+void rate_fleet::run_until(time_point end)
+{
+    while (!m_events.empty() && m_events.top().m_at <= end)
+    {
+        event const next = m_events.top();
+        m_events.pop();
+        m_now = std::max(m_now, next.m_at);
+        next.m_action();
+    }
+    m_now = std::max(m_now, end);
+}
+
+std::vector<bench_request> const& rate_fleet::requests() const
+{
+    return m_requests;
+}
+
+std::uint64_t rate_fleet::messages() const
+{
+    return m_messages;
+}
+
+namespace
+{
+
+/// Traffic of one account that arrives at few VMs, which change over time.
+struct rate_scenario
+{
+    std::string m_name;
+    account_config m_account;
+    std::size_t m_vms = 36;
+    std::size_t m_active = 3;
+    double m_load = 0.8; ///< demand as a multiple of the account's rate
+    std::chrono::seconds m_move_interval{10};
+    std::chrono::seconds m_length{600};
+    network_conditions m_network;
+    std::optional<std::chrono::seconds> m_death_interval;
+};
+
+struct rate_figures
+{
+    double m_refused_share = 0.0; ///< of requests that one bucket would admit
+    double m_excess = 0.0;        ///< requests over burst + rate * interval
+    double m_messages = 0.0;      ///< per second, whole fleet
+};
+
+/// Bases are in force and buckets full after this time.
+constexpr std::chrono::seconds warm_up{30};
+
+/// Poisson arrivals.
+std::vector<bench_request>
+make_requests(rate_scenario const& scenario, std::uint64_t seed)
+{
+    std::mt19937_64 random{seed};
+    double const rate = scenario.m_account.m_rate * scenario.m_load;
+    std::exponential_distribution<double> gap{rate};
+    std::vector<std::size_t> vms(scenario.m_vms);
+    for (std::size_t i = 0; i < vms.size(); ++i)
+    {
+        vms[i] = i;
+    }
+    std::uniform_int_distribution<std::size_t> pick{0, scenario.m_active - 1};
+    std::vector<bench_request> requests;
+    time_point at = start_time + warm_up;
+    time_point const end = at + scenario.m_length;
+    time_point next_move = at;
+    while (at < end)
+    {
+        if (at >= next_move)
+        {
+            std::shuffle(vms.begin(), vms.end(), random);
+            next_move += scenario.m_move_interval;
+        }
+        requests.push_back(
+            {vms[pick(random)], scenario.m_account.m_name, at, {}});
+        at += duration{std::int64_t(gap(random) * 1e9)};
+    }
+    return requests;
+}
+
+/// Largest surplus of admissions over burst + rate * interval. The sum is
+/// that of a queue which drains with the rate.
+double worst_excess(
+    account_config const& account, std::vector<bench_request> const& requests)
+{
+    std::vector<time_point> admitted;
+    for (bench_request const& request : requests)
+    {
+        if (request.m_admitted_at)
+        {
+            admitted.push_back(*request.m_admitted_at);
+        }
+    }
+    std::sort(admitted.begin(), admitted.end());
+    double queue = 0.0;
+    double worst = -account.m_burst;
+    time_point last{};
+    for (time_point const at : admitted)
+    {
+        std::chrono::duration<double> const elapsed = at - last;
+        queue = std::max(0.0, queue - account.m_rate * elapsed.count()) + 1.0;
+        worst = std::max(worst, queue - account.m_burst);
+        last = at;
+    }
+    return worst;
+}
+
+/// The share of requests refused among those that one bucket would admit.
+double refused_share(
+    account_config const& account, std::vector<bench_request> const& requests)
+{
+    token_bucket ideal;
+    ideal.set_limits(start_time, account.m_rate, account.m_burst);
+    std::size_t within_rate = 0;
+    std::size_t refused = 0;
+    for (bench_request const& request : requests)
+    {
+        ideal.advance(request.m_arrived_at);
+        if (ideal.take())
+        {
+            ++within_rate;
+            refused += request.m_admitted_at ? 0 : 1;
+        }
+    }
+    return double(refused) / double(std::max<std::size_t>(1, within_rate));
+}
+
+rate_figures figures_of(
+    rate_scenario const& scenario,
+    std::vector<bench_request> const& requests,
+    double messages)
+{
+    std::chrono::duration<double> const length = scenario.m_length;
+    return {
+        refused_share(scenario.m_account, requests),
+        worst_excess(scenario.m_account, requests),
+        messages / length.count()};
+}
+
+rate_figures run_shares(
+    rate_scenario const& scenario,
+    std::vector<bench_request> const& requests,
+    std::uint64_t seed)
+{
+    rate_fleet fleet{scenario.m_vms, seed, scenario.m_network};
+    rate_share::member_view view{1, {}, false, false};
+    for (std::size_t vm = 0; vm < fleet.size(); ++vm)
+    {
+        view.m_members.push_back(fleet.self(vm));
+    }
+    for (std::size_t vm = 0; vm < fleet.size(); ++vm)
+    {
+        fleet.share(vm).set_members(fleet.now(), view);
+        fleet.share(vm).put_account(fleet.now(), scenario.m_account, 1);
+        fleet.share(vm).set_stable(fleet.now(), 1);
+        fleet.set_valid_until(vm, time_point::max());
+    }
+    for (bench_request const& request : requests)
+    {
+        fleet.add_request(request);
+    }
+    fleet.run_until(start_time + warm_up + scenario.m_length);
+    return figures_of(scenario, fleet.requests(), double(fleet.messages()));
+}
+
+/// Baseline A: each VM has the same share of rate and burst.
+rate_figures run_static_split(
+    rate_scenario const& scenario, std::vector<bench_request> requests)
+{
+    double const vms = double(scenario.m_vms);
+    std::vector<token_bucket> buckets(scenario.m_vms);
+    for (token_bucket& bucket : buckets)
+    {
+        bucket.set_limits(
+            start_time,
+            scenario.m_account.m_rate / vms,
+            scenario.m_account.m_burst / vms);
+    }
+    for (bench_request& request : requests)
+    {
+        token_bucket& bucket = buckets[request.m_vm];
+        bucket.advance(request.m_arrived_at);
+        if (bucket.take())
+        {
+            request.m_admitted_at = request.m_arrived_at;
+        }
+    }
+    return figures_of(scenario, requests, 0.0);
+}
+
+/// Baseline B: each VM has a bucket with the whole rate and burst and learns
+/// once in this interval what the others admitted.
+constexpr std::chrono::seconds reconcile_interval{1};
+
+rate_figures run_reconciled(
+    rate_scenario const& scenario, std::vector<bench_request> requests)
+{
+    std::vector<double> levels(scenario.m_vms, scenario.m_account.m_burst);
+    std::vector<double> admitted(scenario.m_vms, 0.0);
+    time_point last = start_time;
+    time_point next = start_time + reconcile_interval;
+    double messages = 0.0;
+    auto const refill = [&](time_point now)
+    {
+        std::chrono::duration<double> const elapsed = now - last;
+        for (double& level : levels)
+        {
+            level = std::min(
+                scenario.m_account.m_burst,
+                level + scenario.m_account.m_rate * elapsed.count());
+        }
+        last = now;
+    };
+    auto const reconcile = [&]
+    {
+        for (std::size_t from = 0; from < levels.size(); ++from)
+        {
+            messages += admitted[from] > 0.0 ? double(levels.size() - 1) : 0.0;
+            for (std::size_t to = 0; to < levels.size(); ++to)
+            {
+                levels[to] -= to == from ? 0.0 : admitted[from];
+            }
+            admitted[from] = 0.0;
+        }
+    };
+    for (bench_request& request : requests)
+    {
+        while (next <= request.m_arrived_at)
+        {
+            refill(next);
+            reconcile();
+            next += reconcile_interval;
+        }
+        refill(request.m_arrived_at);
+        if (levels[request.m_vm] >= 1.0)
+        {
+            levels[request.m_vm] -= 1.0;
+            admitted[request.m_vm] += 1.0;
+            request.m_admitted_at = request.m_arrived_at;
+        }
+    }
+    return figures_of(scenario, requests, messages);
+}
+
+std::vector<rate_scenario> scenarios()
+{
+    account_config const large{"large", 200.0, 100.0};
+    account_config const medium{"medium", 20.0, 20.0};
+    account_config const small{"small", 5.0, 10.0};
+    std::vector<rate_scenario> list;
+    for (account_config const& account : {large, medium, small})
+    {
+        rate_scenario scenario;
+        scenario.m_account = account;
+        scenario.m_name = fmt::format(
+            "{}/s burst {}, 3 moving VMs", account.m_rate, account.m_burst);
+        list.push_back(scenario);
+    }
+    for (account_config const& account : {large, medium, small})
+    {
+        rate_scenario scenario;
+        scenario.m_account = account;
+        scenario.m_name = fmt::format(
+            "{}/s burst {}, all VMs", account.m_rate, account.m_burst);
+        scenario.m_active = scenario.m_vms;
+        list.push_back(scenario);
+    }
+    rate_scenario lossy = list.front();
+    lossy.m_name += ", 5% lost";
+    lossy.m_network.m_loss = 0.05;
+    lossy.m_network.m_duplicate = 0.05;
+    list.push_back(lossy);
+    return list;
+}
+
+void add_results(
+    std::vector<bench_result>& results,
+    rate_scenario const& scenario,
+    std::uint64_t seed)
+{
+    auto const requests = make_requests(scenario, seed);
+    auto const chosen = run_shares(scenario, requests, seed);
+    auto const split = run_static_split(scenario, requests);
+    auto const reconciled = run_reconciled(scenario, requests);
+    std::string const command =
+        fmt::format("briar-bench rates --seed {}", seed);
+    double const vms = double(scenario.m_vms);
+    auto const add = [&](std::string const& name,
+                         std::string const& unit,
+                         double baseline,
+                         double value,
+                         std::optional<double> target)
+    {
+        results.push_back(
+            {scenario.m_name + ": " + name,
+             unit,
+             baseline,
+             value,
+             target,
+             seed,
+             command});
+    };
+    add("refused (A)",
+        "% of within rate",
+        100.0 * split.m_refused_share,
+        100.0 * chosen.m_refused_share,
+        {});
+    add("refused (B)",
+        "% of within rate",
+        100.0 * reconciled.m_refused_share,
+        100.0 * chosen.m_refused_share,
+        {});
+    add("excess (A)", "requests", split.m_excess, chosen.m_excess, 0.0);
+    add("excess (B)", "requests", reconciled.m_excess, chosen.m_excess, 0.0);
+    add("messages (B)",
+        "1/s per VM",
+        reconciled.m_messages / vms,
+        chosen.m_messages / vms,
+        {});
+}
+
+} // namespace
+
+std::vector<bench_result> run_rate_bench(std::uint64_t seed)
+{
+    std::vector<bench_result> results;
+    for (rate_scenario const& scenario : scenarios())
+    {
+        add_results(results, scenario, seed);
+    }
+    return results;
+}
+
+} // namespace briarhub
--- /dev/null
+++ b/src/rate_bench.hpp
@@ -0,0 +1,123 @@
+#ifndef BRIARHUB_RATE_BENCH_HPP
+#define BRIARHUB_RATE_BENCH_HPP
+
+/// Drives several `rate_share` objects under a passed-in time with delayed,
+/// lost and duplicated messages, and compares them with simpler policies.
+
+#include "bench_result.hpp"
+#include "rate_share.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <queue>
+#include <random>
+#include <vector>
+
+namespace briarhub
+{
+
+struct network_conditions
+{
+    std::chrono::microseconds m_delay{2500}; ///< one way
+    std::chrono::microseconds m_jitter{0};   ///< uniform, added to the delay
+    double m_loss = 0.0;                     ///< probability
+    double m_duplicate = 0.0;                ///< probability
+};
+
+struct bench_request
+{
+    std::size_t m_vm = 0;
+    account_name m_account;
+    time_point m_arrived_at{};
+    std::optional<time_point> m_admitted_at;
+};
+
+/// The VMs of a fleet with the network between them.
+class rate_fleet
+{
+public:
+    rate_fleet(
+        std::size_t vms,
+        std::uint64_t seed,
+        network_conditions const& conditions,
+        loan_policy const& policy = {});
+
+    [[nodiscard]] std::size_t size() const;
+    [[nodiscard]] member const& self(std::size_t vm) const;
+    rate_share& share(std::size_t vm);
+    [[nodiscard]] time_point now() const;
+
+    /// Replaces a VM by a new run of it with another incarnation.
+    void restart(std::size_t vm);
+
+    /// A paused VM handles its events when it resumes; a dead one never.
+    void set_paused(std::size_t vm, bool is_paused);
+    void set_dead(std::size_t vm);
+
+    /// Until when the VM may admit and lend.
+    void set_valid_until(std::size_t vm, time_point valid_until);
+
+    /// A request arrives at its VM now or later.
+    void add_request(bench_request request);
+
+    /// Runs `action` at the given time.
+    void at(time_point when, std::function<void()> action);
+
+    void run_until(time_point end);
+
+    [[nodiscard]] std::vector<bench_request> const& requests() const;
+    [[nodiscard]] std::uint64_t messages() const; ///< sent
+
+private:
+    struct node
+    {
+        member m_self;
+        std::optional<rate_share> m_share;
+        bool m_is_paused = false;
+        bool m_is_dead = false;
+        time_point m_valid_until{};
+        time_point m_next_poll = time_point::max();
+        std::vector<std::function<void()>> m_deferred;
+    };
+
+    struct event
+    {
+        time_point m_at{};
+        std::uint64_t m_order = 0;
+        std::function<void()> m_action;
+
+        friend bool operator>(event const& left, event const& right)
+        {
+            return left.m_at != right.m_at ? left.m_at > right.m_at
+                                           : left.m_order > right.m_order;
+        }
+    };
+
+    void start(std::size_t vm);
+    void at_vm(time_point when, std::size_t vm, std::function<void()> action);
+    void run_at_vm(std::size_t vm, std::function<void()> const& action);
+    void attempt(std::size_t request, bool is_first);
+    void send_outgoing(std::size_t vm);
+    void send(std::size_t from, addressed_loan_message const& message);
+    void schedule_poll(std::size_t vm);
+    [[nodiscard]] std::optional<std::size_t> find(vm_id const& vm) const;
+
+    network_conditions m_conditions;
+    loan_policy m_policy;
+    std::mt19937_64 m_random;
+    time_point m_now;
+    std::uint64_t m_next_order = 0;
+    std::priority_queue<event, std::vector<event>, std::greater<>> m_events;
+    std::vector<node> m_nodes;
+    std::vector<bench_request> m_requests;
+    std::uint64_t m_messages = 0;
+};
+
+/// Figures of the subcommand `rates`.
+std::vector<bench_result> run_rate_bench(std::uint64_t seed);
+
+} // namespace briarhub
+
+#endif
