--- /dev/null
+++ b/src/upstream_client.cpp
@@ -0,0 +1,820 @@
+#include "upstream_client.hpp"
+
+#include "clock.hpp"
+#include "upstream_pool.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <fmt/format.h>
+
+#include <array>
+#include <charconv>
+#include <unordered_map>
+#include <utility>
+
+namespace briarhub
+{
+namespace
+{
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+using error_code = boost::system::error_code;
+using head_parser = http::response_parser<http::empty_body>;
+
+constexpr auto use_tuple = net::as_tuple(net::use_awaitable);
+
+/// Parts of a streamed answer are at most this large.
+constexpr std::size_t stream_chunk_bytes = 32 * 1024;
+
+constexpr char const* health_target = "/health";
+
+enum class end_reason
+{
+    none,
+    deadline,
+    cancelled
+};
+
+/// Ends an attempt from outside of its coroutine by closing its connection.
+struct attempt_control
+{
+    explicit attempt_control(net::io_context& io) : m_timer(io)
+    {
+    }
+
+    void end(end_reason reason)
+    {
+        if (m_reason != end_reason::none)
+        {
+            return;
+        }
+        m_reason = reason;
+        if (m_connection)
+        {
+            error_code ignored;
+            m_connection->m_socket.close(ignored);
+        }
+    }
+
+    end_reason m_reason = end_reason::none;
+    upstream_connection_ptr m_connection;
+    timer m_timer;
+};
+
+/// Shared by the client and its running attempts, which may end after it.
+struct client_state
+{
+    explicit client_state(net::io_context& io) : m_io(io), m_pool(io)
+    {
+    }
+
+    net::io_context& m_io;
+    upstream_pool m_pool;
+    std::unordered_multimap<request_ticket, attempt_control*> m_attempts;
+};
+
+bool is_close(error_code const& error)
+{
+    return error == net::error::eof || error == http::error::end_of_stream ||
+           error == http::error::partial_message ||
+           error == net::error::connection_reset ||
+           error == net::error::connection_aborted ||
+           error == net::error::broken_pipe;
+}
+
+template <class Number>
+bool parse_number(std::string_view text, Number& value)
+{
+    auto const* end = text.data() + text.size();
+    auto const [last, error] = std::from_chars(text.data(), end, value);
+    return error == std::errc{} && last == end;
+}
+
+/// Reads `in_use/slots`.
+std::optional<upstream_load> parse_load(std::string_view text)
+{
+    auto const slash = text.find('/');
+    upstream_load load;
+    if (slash == std::string_view::npos ||
+        !parse_number(text.substr(0, slash), load.m_in_use) ||
+        !parse_number(text.substr(slash + 1), load.m_slots))
+    {
+        return std::nullopt;
+    }
+    return load;
+}
+
+bool is_strong_entity_tag(std::string_view tag)
+{
+    return tag.size() >= 2 && tag.front() == '"' && tag.back() == '"';
+}
+
+/// True if a `Content-Range` covers the rest of the answer from `position`.
+bool covers_rest(std::string_view field, stream_position const& position)
+{
+    return field == fmt::format(
+                        "bytes {}-{}/{}",
+                        position.m_received,
+                        position.m_length - 1,
+                        position.m_length);
+}
+
+/// One attempt; lives in the frame of the coroutine that runs it.
+class attempt_session
+{
+public:
+    attempt_session(
+        std::shared_ptr<client_state> state,
+        request_ticket ticket,
+        upstream target,
+        upstream_request request,
+        time_point deadline,
+        std::function<bool()> may_send)
+        : m_state(std::move(state)), m_target(std::move(target)),
+          m_request(std::move(request)), m_deadline(deadline),
+          m_may_send(std::move(may_send)),
+          m_control(std::make_shared<attempt_control>(m_state->m_io)),
+          m_place(m_state->m_attempts.emplace(ticket, m_control.get()))
+    {
+        m_request.prepare_payload();
+        m_control->m_timer.expires_at(deadline);
+        m_control->m_timer.async_wait(
+            [weak = std::weak_ptr{m_control}](error_code const& error)
+            {
+                auto const control = weak.lock();
+                if (!error && control)
+                {
+                    control->end(end_reason::deadline);
+                }
+            });
+    }
+
+    ~attempt_session()
+    {
+        m_state->m_attempts.erase(m_place);
+    }
+
+    attempt_session(attempt_session const&) = delete;
+    attempt_session& operator=(attempt_session const&) = delete;
+
+    net::awaitable<void> run_buffered()
+    {
+        head_parser head;
+        if (!co_await exchange_head(head))
+        {
+            co_return;
+        }
+        if (!co_await read_whole_body(head))
+        {
+            co_return;
+        }
+        classify();
+        keep_connection();
+    }
+
+    net::awaitable<void>
+    run_streamed(stream_position& position, answer_sink const& sink)
+    {
+        if (!prepare_resume(position))
+        {
+            co_return;
+        }
+        head_parser head;
+        if (!co_await exchange_head(head))
+        {
+            co_return;
+        }
+        if (head.get().result_int() >= 500)
+        {
+            if (co_await read_whole_body(head))
+            {
+                classify();
+                keep_connection();
+            }
+            co_return;
+        }
+        if (!co_await begin_stream(head, position, sink))
+        {
+            co_return;
+        }
+        if (co_await pass_on_body(head, position, sink))
+        {
+            classify();
+            keep_connection();
+        }
+    }
+
+    upstream_attempt take_result()
+    {
+        return std::move(m_attempt);
+    }
+
+private:
+    upstream_connection& connection()
+    {
+        return *m_control->m_connection;
+    }
+
+    /// Ends the attempt: the answer is dropped and the connection closed.
+    void fail(attempt_outcome outcome, std::string error)
+    {
+        m_attempt.m_outcome = outcome;
+        m_attempt.m_error = std::move(error);
+        m_attempt.m_head = {};
+        m_attempt.m_body.clear();
+        m_attempt.m_not_run = false;
+        m_control->m_connection.reset();
+    }
+
+    /// The outcome of an I/O error; `otherwise` applies if neither the
+    /// deadline nor a cancellation closed the connection.
+    void
+    fail_io(error_code const& error, attempt_outcome otherwise, char const* at)
+    {
+        switch (m_control->m_reason)
+        {
+        case end_reason::deadline:
+            fail(attempt_outcome::error, fmt::format("timeout {}", at));
+            return;
+        case end_reason::cancelled:
+            fail(attempt_outcome::cancelled, fmt::format("cancelled {}", at));
+            return;
+        case end_reason::none:
+            break;
+        }
+        if (error == net::error::operation_aborted)
+        {
+            otherwise = attempt_outcome::cancelled;
+        }
+        fail(otherwise, fmt::format("{} {}", error.message(), at));
+    }
+
+    /// Connects unless an idle connection is at hand.
+    net::awaitable<bool> obtain_connection(bool may_reuse)
+    {
+        if (m_control->m_reason != end_reason::none)
+        {
+            fail_io({}, attempt_outcome::error, "before connecting");
+            co_return false;
+        }
+        if (may_reuse)
+        {
+            m_control->m_connection =
+                m_state->m_pool.take_idle(m_target.m_address);
+        }
+        if (m_control->m_connection)
+        {
+            co_return true;
+        }
+        co_return co_await connect();
+    }
+
+    net::awaitable<bool> connect()
+    {
+        error_code error;
+        net::ip::tcp::endpoint const endpoint = parse_endpoint(error);
+        m_control->m_connection = m_state->m_pool.make(m_target.m_address);
+        if (!error)
+        {
+            auto [result] = co_await connection().m_socket.async_connect(
+                endpoint, use_tuple);
+            error = result;
+        }
+        if (error || m_control->m_reason != end_reason::none)
+        {
+            fail_io(error, attempt_outcome::error, "while connecting");
+            co_return false;
+        }
+        connection().m_socket.set_option(net::ip::tcp::no_delay{true}, error);
+        co_return true;
+    }
+
+    net::ip::tcp::endpoint parse_endpoint(error_code& error) const
+    {
+        auto const& text = m_target.m_address;
+        auto const colon = text.rfind(':');
+        std::uint16_t port = 0;
+        if (colon == std::string::npos ||
+            !parse_number(std::string_view{text}.substr(colon + 1), port))
+        {
+            error = net::error::invalid_argument;
+            return {};
+        }
+        return {net::ip::make_address(text.substr(0, colon), error), port};
+    }
+
+    /// Writes the request. A reused connection that fails before it took a
+    /// byte is replaced once.
+    net::awaitable<bool> send()
+    {
+        for (int tries = 0; tries < 2; ++tries)
+        {
+            if (!co_await obtain_connection(tries == 0))
+            {
+                co_return false;
+            }
+            if (!is_allowed_to_send())
+            {
+                co_return false;
+            }
+            auto [error, bytes] = co_await http::async_write(
+                connection().m_socket, m_request, use_tuple);
+            m_attempt.m_sent = bytes > 0;
+            if (!error)
+            {
+                co_return true;
+            }
+            bool const replace = connection().m_reused && bytes == 0 &&
+                                 m_control->m_reason == end_reason::none;
+            auto const outcome = is_close(error) && bytes > 0
+                                     ? attempt_outcome::crashed
+                                     : attempt_outcome::error;
+            fail_io(error, outcome, "while sending");
+            if (!replace)
+            {
+                co_return false;
+            }
+        }
+        co_return false;
+    }
+
+    bool is_allowed_to_send()
+    {
+        if (runtime_clock::now() >= m_deadline)
+        {
+            m_control->end(end_reason::deadline);
+            fail_io({}, attempt_outcome::error, "before sending");
+            return false;
+        }
+        if (m_may_send && !m_may_send())
+        {
+            // Nothing was written, so the connection can serve others.
+            m_state->m_pool.put_back(std::move(m_control->m_connection));
+            fail(attempt_outcome::cancelled, "not allowed to send");
+            return false;
+        }
+        return true;
+    }
+
+    /// Sends the request, reads the head of the answer and checks that it
+    /// belongs to the request.
+    net::awaitable<bool> exchange_head(head_parser& head)
+    {
+        if (!co_await send())
+        {
+            co_return false;
+        }
+        // The limit depends on the status, which is not known yet.
+        head.body_limit(boost::none);
+        head.skip(m_request.method() == http::verb::head);
+        auto [error, bytes] = co_await http::async_read_header(
+            connection().m_socket, connection().m_buffer, head, use_tuple);
+        if (error)
+        {
+            auto const outcome = is_close(error) ? attempt_outcome::crashed
+                                                 : attempt_outcome::wrong;
+            fail_io(error, outcome, "while waiting for the answer");
+            co_return false;
+        }
+        co_return accept_head(head);
+    }
+
+    /// Probes carry no request id; any other request has one.
+    [[nodiscard]] bool is_echo_right(http::fields const& answer) const
+    {
+        if (m_request.count(request_id_field) == 0)
+        {
+            return true;
+        }
+        return answer.count(request_id_field) == 1 &&
+               answer[request_id_field] == m_request[request_id_field];
+    }
+
+    bool accept_head(head_parser const& head)
+    {
+        auto const& fields = head.get();
+        if (!is_echo_right(fields))
+        {
+            fail(attempt_outcome::wrong, "request id echo does not match");
+            return false;
+        }
+        if (head.need_eof())
+        {
+            fail(attempt_outcome::wrong, "the answer states no length");
+            return false;
+        }
+        m_attempt.m_head = fields.base();
+        m_attempt.m_draining = fields[upstream_draining_field] == "1";
+        m_attempt.m_load = parse_load(fields[upstream_load_field]);
+        return true;
+    }
+
+    /// An end of stream inside the body leaves a damaged answer; a reset may
+    /// be the network's fault.
+    void fail_in_body(error_code const& error)
+    {
+        static auto const& http_category =
+            http::make_error_code(http::error::partial_message).category();
+        bool const damaged = error.category() == http_category &&
+                             error != http::error::body_limit;
+        fail_io(
+            error,
+            damaged ? attempt_outcome::wrong : attempt_outcome::error,
+            "inside the answer");
+    }
+
+    net::awaitable<bool> read_whole_body(head_parser& head)
+    {
+        bool const fits =
+            head.content_length().value_or(0) <= max_buffered_answer_bytes;
+        http::response_parser<http::string_body> parser{std::move(head)};
+        parser.body_limit(max_buffered_answer_bytes);
+        if (!fits)
+        {
+            fail(attempt_outcome::error, "the answer is too large");
+            co_return false;
+        }
+        auto [error, bytes] = co_await http::async_read(
+            connection().m_socket, connection().m_buffer, parser, use_tuple);
+        if (error)
+        {
+            fail_in_body(error);
+            co_return false;
+        }
+        m_attempt.m_body = std::move(parser.get().body());
+        if (!is_whole_body_undamaged())
+        {
+            fail(attempt_outcome::wrong, "digest does not match");
+            co_return false;
+        }
+        co_return true;
+    }
+
+    /// `Digest` describes the whole representation, so it says nothing about
+    /// the body of a partial answer or of a HEAD request.
+    [[nodiscard]] bool is_whole_body_undamaged() const
+    {
+        auto const& head = m_attempt.m_head;
+        if (head.result() == http::status::partial_content ||
+            m_request.method() == http::verb::head)
+        {
+            return true;
+        }
+        auto const digest = sha256_of_digest_field(head[http::field::digest]);
+        return !digest || *digest == sha256_base64(m_attempt.m_body);
+    }
+
+    bool prepare_resume(stream_position const& position)
+    {
+        if (!position.m_head_sent)
+        {
+            return true;
+        }
+        if (!is_resumable(position))
+        {
+            fail(attempt_outcome::error, "the answer cannot be resumed");
+            return false;
+        }
+        m_request.set(
+            http::field::range, fmt::format("bytes={}-", position.m_received));
+        m_request.set(http::field::if_range, position.m_entity_tag);
+        return true;
+    }
+
+    net::awaitable<bool> begin_stream(
+        head_parser const& head,
+        stream_position& position,
+        answer_sink const& sink)
+    {
+        if (position.m_head_sent)
+        {
+            co_return accept_resumed(position);
+        }
+        if (head.chunked())
+        {
+            fail(attempt_outcome::wrong, "the answer states no length");
+            co_return false;
+        }
+        note_representation(position, head.content_length().value_or(0));
+        position.m_head_sent = true;
+        bool const accepted =
+            co_await sink.m_on_head(m_attempt.m_head, position.m_length);
+        if (!accepted)
+        {
+            fail(attempt_outcome::cancelled, "the caller took no head");
+        }
+        co_return accepted;
+    }
+
+    /// Remembers what later attempts need to continue this answer.
+    void note_representation(stream_position& position, std::uint64_t length)
+    {
+        auto const& head = m_attempt.m_head;
+        position.m_length = length;
+        if (head.result() != http::status::ok)
+        {
+            return;
+        }
+        if (is_strong_entity_tag(head[http::field::etag]))
+        {
+            position.m_entity_tag = head[http::field::etag];
+        }
+        if (m_request.method() != http::verb::head)
+        {
+            position.m_digest =
+                sha256_of_digest_field(head[http::field::digest]).value_or("");
+        }
+    }
+
+    bool accept_resumed(stream_position const& position)
+    {
+        auto const& head = m_attempt.m_head;
+        if (head.result_int() >= 400)
+        {
+            fail(
+                attempt_outcome::error,
+                fmt::format("status {} to a range", head.result_int()));
+            return false;
+        }
+        if (head[http::field::etag] != position.m_entity_tag)
+        {
+            fail(attempt_outcome::wrong, "another entity tag");
+            return false;
+        }
+        if (head.result() != http::status::partial_content ||
+            !covers_rest(head[http::field::content_range], position))
+        {
+            fail(attempt_outcome::wrong, "another range than asked for");
+            return false;
+        }
+        return true;
+    }
+
+    net::awaitable<bool> pass_on_body(
+        head_parser& head, stream_position& position, answer_sink const& sink)
+    {
+        bool const resumed = position.m_received > 0;
+        bool const has_body = !head.is_done();
+        http::response_parser<http::buffer_body> parser{std::move(head)};
+        std::array<char, stream_chunk_bytes> chunk;
+        while (!parser.is_done())
+        {
+            auto& body = parser.get().body();
+            body.data = chunk.data();
+            body.size = chunk.size();
+            auto [error, bytes] = co_await http::async_read_some(
+                connection().m_socket,
+                connection().m_buffer,
+                parser,
+                use_tuple);
+            std::string_view const data{chunk.data(), chunk.size() - body.size};
+            if (!co_await pass_on(data, position, sink, resumed))
+            {
+                co_return false;
+            }
+            if (error && error != http::error::need_buffer)
+            {
+                fail_in_body(error);
+                co_return false;
+            }
+        }
+        if (has_body && position.m_received != position.m_length)
+        {
+            fail(attempt_outcome::wrong, "another length than stated");
+            co_return false;
+        }
+        co_return true;
+    }
+
+    net::awaitable<bool> pass_on(
+        std::string_view data,
+        stream_position& position,
+        answer_sink const& sink,
+        bool resumed)
+    {
+        if (data.empty())
+        {
+            co_return true;
+        }
+        position.m_hasher.update(data);
+        bool const last =
+            position.m_received + data.size() >= position.m_length;
+        if (last && !position.m_digest.empty() &&
+            position.m_digest != position.m_hasher.base64())
+        {
+            // What was passed on before is damaged, so no attempt may go on.
+            // After a resume it is not known which upstream damaged it.
+            position.m_entity_tag.clear();
+            fail(
+                resumed ? attempt_outcome::error : attempt_outcome::wrong,
+                "digest does not match");
+            co_return false;
+        }
+        bool const taken = co_await sink.m_on_data(data);
+        if (!taken)
+        {
+            fail(attempt_outcome::cancelled, "the caller took no data");
+            co_return false;
+        }
+        position.m_received += data.size();
+        co_return true;
+    }
+
+    /// Classifies a complete answer that belongs to the request.
+    void classify()
+    {
+        auto const& head = m_attempt.m_head;
+        unsigned const status = head.result_int();
+        m_attempt.m_outcome = attempt_outcome::good;
+        if (status < 500)
+        {
+            return;
+        }
+        m_attempt.m_not_run =
+            status == 503 && head[upstream_not_run_field] == "1";
+        m_attempt.m_outcome = m_attempt.m_not_run ? attempt_outcome::shed
+                                                  : attempt_outcome::error;
+        m_attempt.m_error = fmt::format("status {}", status);
+    }
+
+    /// Returns the connection to the pool if it is in a known state.
+    void keep_connection()
+    {
+        bool const clean = m_attempt.m_head.version() == 11 &&
+                           connection().m_buffer.size() == 0 &&
+                           m_control->m_reason == end_reason::none;
+        bool const close =
+            http::token_list{m_attempt.m_head[http::field::connection]}.exists(
+                "close");
+        if (clean && !close)
+        {
+            m_state->m_pool.put_back(std::move(m_control->m_connection));
+        }
+        m_control->m_connection.reset();
+    }
+
+    std::shared_ptr<client_state> m_state;
+    upstream m_target;
+    upstream_request m_request;
+    time_point m_deadline;
+    std::function<bool()> m_may_send;
+    /// Shared with the handler of its timer, which may run after the attempt.
+    std::shared_ptr<attempt_control> m_control;
+    std::unordered_multimap<request_ticket, attempt_control*>::iterator m_place;
+    upstream_attempt m_attempt;
+};
+
+net::awaitable<upstream_attempt> run_attempt(
+    std::shared_ptr<client_state> state,
+    request_ticket ticket,
+    upstream target,
+    upstream_request request,
+    time_point deadline,
+    std::function<bool()> may_send)
+{
+    attempt_session session{
+        std::move(state),
+        ticket,
+        std::move(target),
+        std::move(request),
+        deadline,
+        std::move(may_send)};
+    co_await session.run_buffered();
+    co_return session.take_result();
+}
+
+net::awaitable<upstream_attempt> run_streamed_attempt(
+    std::shared_ptr<client_state> state,
+    request_ticket ticket,
+    upstream target,
+    upstream_request request,
+    time_point deadline,
+    std::function<bool()> may_send,
+    stream_position& position,
+    answer_sink const& sink)
+{
+    attempt_session session{
+        std::move(state),
+        ticket,
+        std::move(target),
+        std::move(request),
+        deadline,
+        std::move(may_send)};
+    co_await session.run_streamed(position, sink);
+    co_return session.take_result();
+}
+
+/// Health endpoints echo no request id, so a probe carries none.
+net::awaitable<bool> run_probe(
+    std::shared_ptr<client_state> state,
+    upstream target,
+    std::chrono::milliseconds timeout)
+{
+    upstream_request request{http::verb::get, health_target, 11};
+    request.set(http::field::host, target.m_address);
+    request.set(http::field::connection, "close");
+    std::function<bool()> const no_condition;
+    attempt_session session{
+        std::move(state),
+        0,
+        std::move(target),
+        std::move(request),
+        runtime_clock::now() + timeout,
+        no_condition};
+    co_await session.run_buffered();
+    upstream_attempt const attempt = session.take_result();
+    co_return attempt.m_outcome ==
+        attempt_outcome::good&& attempt.m_head.result() == http::status::ok;
+}
+
+} // namespace
+
+struct upstream_client::implementation
+{
+    std::shared_ptr<client_state> m_state;
+};
+
+upstream_client::upstream_client(net::io_context& io)
+    : m_implementation(std::make_unique<implementation>())
+{
+    m_implementation->m_state = std::make_shared<client_state>(io);
+}
+
+upstream_client::~upstream_client()
+{
+    for (auto const& [ticket, control] : m_implementation->m_state->m_attempts)
+    {
+        control->end(end_reason::cancelled);
+    }
+}
+
+net::awaitable<upstream_attempt> upstream_client::run(
+    request_ticket ticket,
+    upstream target,
+    upstream_request request,
+    time_point deadline,
+    std::function<bool()> may_send)
+{
+    return run_attempt(
+        m_implementation->m_state,
+        ticket,
+        std::move(target),
+        std::move(request),
+        deadline,
+        std::move(may_send));
+}
+
+net::awaitable<upstream_attempt> upstream_client::run_streamed(
+    request_ticket ticket,
+    upstream target,
+    upstream_request request,
+    time_point deadline,
+    std::function<bool()> may_send,
+    stream_position& position,
+    answer_sink const& sink)
+{
+    return run_streamed_attempt(
+        m_implementation->m_state,
+        ticket,
+        std::move(target),
+        std::move(request),
+        deadline,
+        std::move(may_send),
+        position,
+        sink);
+}
+
+void upstream_client::cancel(request_ticket ticket)
+{
+    auto const [first, last] =
+        m_implementation->m_state->m_attempts.equal_range(ticket);
+    for (auto place = first; place != last; ++place)
+    {
+        place->second->end(end_reason::cancelled);
+    }
+}
+
+net::awaitable<bool>
+upstream_client::probe(upstream target, std::chrono::milliseconds timeout)
+{
+    return run_probe(m_implementation->m_state, std::move(target), timeout);
+}
+
+void upstream_client::keep_only(std::span<upstream const> upstreams)
+{
+    m_implementation->m_state->m_pool.keep_only(upstreams);
+}
+
+std::size_t upstream_client::open_connections() const
+{
+    return m_implementation->m_state->m_pool.open_connections();
+}
+
+} // namespace briarhub
--- a/src/upstream_client.hpp
+++ b/src/upstream_client.hpp
@@ -3,6 +3,7 @@
 
 /// Pooled connections to upstreams, one request at a time on each.
 
+#include "content_digest.hpp"
 #include "types.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -76,10 +77,20 @@
 {
     std::uint64_t m_received = 0;
     std::uint64_t m_length = 0;
+    /// A strong entity tag; empty if the answer cannot be resumed.
     std::string m_entity_tag;
     bool m_head_sent = false;
+    /// Base64 SHA-256 of the whole answer; empty if the upstream gave none.
+    std::string m_digest;
+    sha256_hasher m_hasher; ///< over the first `m_received` bytes
 };
 
+/// True if another attempt may continue a streamed answer.
+[[nodiscard]] inline bool is_resumable(stream_position const& position)
+{
+    return !position.m_head_sent || !position.m_entity_tag.empty();
+}
+
 class upstream_client
 {
 public:
@@ -100,9 +111,12 @@
         time_point deadline,
         std::function<bool()> may_send);
 
-    /// Like `run`, for an answer that is passed on while it arrives. With
-    /// `position.m_received` above zero it asks for the rest by `Range` with
-    /// `If-Range`; another entity tag ends the attempt as `wrong`.
+    /// Like `run`, for an answer that is passed on while it arrives. If
+    /// `position` says that the head was sent, it asks for the rest by `Range`
+    /// with `If-Range`; another entity tag ends the attempt as `wrong`. The
+    /// last part is passed on only after the digest was checked. A 5xx answer
+    /// is returned in the attempt and not passed on. `position` and `sink`
+    /// must outlive the attempt.
     boost::asio::awaitable<upstream_attempt> run_streamed(
         request_ticket ticket,
         upstream target,
--- /dev/null
+++ b/src/upstream_pool.cpp
@@ -0,0 +1,111 @@
+#include "upstream_pool.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+
+#include <utility>
+
+namespace briarhub
+{
+namespace
+{
+
+namespace net = boost::asio;
+
+/// True if the upstream neither closed the connection nor sent data that no
+/// request asked for.
+bool is_quiet(upstream_connection& connection)
+{
+    boost::system::error_code error;
+    connection.m_socket.non_blocking(true, error);
+    if (error)
+    {
+        return false;
+    }
+    char byte = 0;
+    connection.m_socket.receive(
+        net::buffer(&byte, 1), net::socket_base::message_peek, error);
+    return error == net::error::would_block;
+}
+
+} // namespace
+
+upstream_connection::upstream_connection(
+    net::io_context& io, endpoint_address address, std::size_t& open_count)
+    : m_socket(io), m_address(std::move(address)), m_open_count(open_count)
+{
+    ++m_open_count;
+}
+
+upstream_connection::~upstream_connection()
+{
+    --m_open_count;
+}
+
+upstream_pool::upstream_pool(net::io_context& io) : m_io(io)
+{
+}
+
+upstream_connection_ptr
+upstream_pool::take_idle(endpoint_address const& address)
+{
+    auto const found = m_idle.find(address);
+    if (found == m_idle.end())
+    {
+        return nullptr;
+    }
+    auto& idle = found->second;
+    while (!idle.empty())
+    {
+        // The most recently used one is the least likely to be closed.
+        upstream_connection_ptr connection = std::move(idle.back());
+        idle.pop_back();
+        if (is_quiet(*connection))
+        {
+            connection->m_reused = true;
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+upstream_connection_ptr upstream_pool::make(endpoint_address const& address)
+{
+    return std::make_unique<upstream_connection>(m_io, address, m_open);
+}
+
+void upstream_pool::put_back(upstream_connection_ptr connection)
+{
+    bool const known = !m_known || m_known->contains(connection->m_address);
+    if (!known || !connection->m_socket.is_open())
+    {
+        return;
+    }
+    auto& idle = m_idle[connection->m_address];
+    if (idle.size() < max_idle_connections)
+    {
+        idle.push_back(std::move(connection));
+    }
+}
+
+void upstream_pool::keep_only(std::span<upstream const> upstreams)
+{
+    m_known.emplace();
+    for (upstream const& each : upstreams)
+    {
+        m_known->insert(each.m_address);
+    }
+    std::erase_if(
+        m_idle,
+        [&](auto const& entry)
+        {
+            return !m_known->contains(entry.first);
+        });
+}
+
+std::size_t upstream_pool::open_connections() const
+{
+    return m_open;
+}
+
+} // namespace briarhub
