--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -7,7 +7,7 @@
     libboost1.81-dev libboost-json1.81-dev libboost-system1.81-dev
     libnghttp2-dev libssl-dev libcxxopts-dev libspdlog-dev libfmt-dev
     doctest-dev libprotobuf-dev protobuf-compiler gnuplot-nox
-    python3-minimal curl
+    python3 curl
 )
 
 missing=()
--- a/src/result_code.cpp
+++ b/src/result_code.cpp
@@ -1,7 +1,10 @@
 #include "result_code.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <array>
+#include <iterator>
 
 namespace briarhub
 {
@@ -279,4 +282,22 @@
     return "may_have_run";
 }
 
+std::string result_table()
+{
+    std::string text = "| code | name | HTTP status | run | meaning |\n"
+                       "| --- | --- | --- | --- | --- |\n";
+    for (auto const& result : results)
+    {
+        fmt::format_to(
+            std::back_inserter(text),
+            "| {} | {} | {} | {} | {} |\n",
+            static_cast<unsigned>(result.m_code),
+            result.m_name,
+            result.m_http_status,
+            to_string(result.m_run),
+            result.m_text);
+    }
+    return text;
+}
+
 } // namespace briarhub
--- a/src/result_code.hpp
+++ b/src/result_code.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <span>
+#include <string>
 #include <string_view>
 
 namespace briarhub
@@ -99,6 +100,9 @@
 
 std::string_view to_string(run_state state) noexcept;
 
+/// All results as the Markdown table of docs/result-codes.md.
+std::string result_table();
+
 } // namespace briarhub
 
 #endif
--- a/tests/base_test.cpp
+++ b/tests/base_test.cpp
@@ -5,7 +5,10 @@
 
 #include <doctest/doctest.h>
 
+#include <fstream>
+#include <iterator>
 #include <memory>
+#include <string>
 #include <vector>
 
 using namespace briarhub;
@@ -22,6 +25,14 @@
     CHECK(describe(result_code::over_rate).m_name == "over_rate");
 }
 
+TEST_CASE("the documented result codes are those of the code")
+{
+    // Operators act on the run column; a stale page would mislead them.
+    std::ifstream file{BRIARHUB_SOURCE_DIR "/docs/result-codes.md"};
+    std::string const page{std::istreambuf_iterator<char>{file}, {}};
+    CHECK(page.find(result_table()) != std::string::npos);
+}
+
 TEST_CASE("timers follow the paused clock")
 {
     runtime_clock::pause();
