--- a/src/claim_key.hpp
+++ b/src/claim_key.hpp
@@ -6,6 +6,7 @@
 #include "clock.hpp"
 #include "result_code.hpp"
 
+#include <array>
 #include <chrono>
 #include <optional>
 #include <string>
@@ -17,6 +18,17 @@
 /// Tolerated difference between a caller's clock and ours.
 inline constexpr std::chrono::seconds idempotency_key_skew{60};
 
+using uuid_bytes = std::array<unsigned char, 16>;
+
+/// Reads a UUIDv7 in either case; nullopt if the text is not one.
+std::optional<uuid_bytes> parse_uuid_v7(std::string_view text);
+
+/// Lower-case text, so that one UUID has one text.
+std::string to_text(uuid_bytes const& uuid);
+
+/// The time in a UUIDv7.
+wall_time uuid_time(uuid_bytes const& uuid);
+
 /// The time in a UUIDv7, nullopt if the text is not one (36 characters).
 std::optional<wall_time> uuid_v7_time(std::string_view text);
 
--- /dev/null
+++ b/src/claim_table.cpp
@@ -0,0 +1,636 @@
+#include "claim_table.hpp"
+
+#include <boost/container_hash/hash.hpp>
+#include <boost/json.hpp>
+
+#include <openssl/evp.h>
+
+#include <algorithm>
+
+namespace briarhub
+{
+namespace
+{
+
+namespace json = boost::json;
+
+constexpr unsigned record_format = 1;
+
+// JSON text must be UTF-8, which headers and bodies need not be. Bytes that
+// JSON text cannot hold, or only in more than two bytes, are stored as base64.
+
+bool is_plain(char byte)
+{
+    return (byte >= ' ' && byte <= '~') || byte == '\n' || byte == '\r' ||
+           byte == '\t';
+}
+
+json::value encode_bytes(std::string const& bytes)
+{
+    if (std::all_of(bytes.begin(), bytes.end(), is_plain))
+    {
+        return json::value(bytes);
+    }
+    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+    int const size = EVP_EncodeBlock(
+        reinterpret_cast<unsigned char*>(text.data()),
+        reinterpret_cast<unsigned char const*>(bytes.data()),
+        static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(size));
+    return json::object{{"base64", text}};
+}
+
+std::optional<std::string> decode_base64(std::string_view text)
+{
+    std::string bytes(3 * (text.size() / 4) + 1, '\0');
+    int const size = EVP_DecodeBlock(
+        reinterpret_cast<unsigned char*>(bytes.data()),
+        reinterpret_cast<unsigned char const*>(text.data()),
+        static_cast<int>(text.size()));
+    if (size < 0)
+    {
+        return std::nullopt;
+    }
+    // EVP_DecodeBlock counts the padding as data.
+    auto const end = text.find_last_not_of('=');
+    std::size_t const padding =
+        end == std::string_view::npos ? 0 : text.size() - end - 1;
+    if (padding > static_cast<std::size_t>(size))
+    {
+        return std::nullopt;
+    }
+    bytes.resize(static_cast<std::size_t>(size) - padding);
+    return bytes;
+}
+
+/// Reads members of a JSON object; remembers whether one was missing or of
+/// another type.
+class object_reader
+{
+public:
+    explicit object_reader(json::object const& object) : m_object(object)
+    {
+    }
+
+    std::string text(std::string_view name)
+    {
+        json::value const* const value = m_object.if_contains(name);
+        json::string const* const found =
+            value == nullptr ? nullptr : value->if_string();
+        m_valid = m_valid && found != nullptr;
+        return found == nullptr ? std::string{} : std::string{*found};
+    }
+
+    std::uint64_t number(std::string_view name)
+    {
+        json::value const* const value = m_object.if_contains(name);
+        boost::system::error_code error;
+        std::uint64_t const found =
+            value == nullptr ? 0 : value->to_number<std::uint64_t>(error);
+        m_valid = m_valid && value != nullptr && !error;
+        return found;
+    }
+
+    bool flag(std::string_view name)
+    {
+        json::value const* const value = m_object.if_contains(name);
+        bool const* const found = value == nullptr ? nullptr : value->if_bool();
+        m_valid = m_valid && found != nullptr;
+        return found != nullptr && *found;
+    }
+
+    std::string bytes(std::string_view name)
+    {
+        json::value const* const value = m_object.if_contains(name);
+        return value == nullptr ? invalid() : decode(*value);
+    }
+
+    std::string decode(json::value const& value)
+    {
+        if (value.is_string())
+        {
+            return std::string{value.get_string()};
+        }
+        json::object const* const object = value.if_object();
+        json::value const* const text =
+            object == nullptr ? nullptr : object->if_contains("base64");
+        if (text == nullptr || !text->is_string())
+        {
+            return invalid();
+        }
+        auto decoded = decode_base64(text->get_string());
+        return decoded ? std::move(*decoded) : invalid();
+    }
+
+    json::array const& array(std::string_view name)
+    {
+        static json::array const empty;
+        json::value const* const value = m_object.if_contains(name);
+        json::array const* const found =
+            value == nullptr ? nullptr : value->if_array();
+        m_valid = m_valid && found != nullptr;
+        return found == nullptr ? empty : *found;
+    }
+
+    std::string invalid()
+    {
+        m_valid = false;
+        return {};
+    }
+
+    [[nodiscard]] bool valid() const
+    {
+        return m_valid;
+    }
+
+private:
+    json::object const& m_object;
+    bool m_valid = true;
+};
+
+json::object common_fields(
+    std::string_view kind, claim_name const& name, claim_author const& author)
+{
+    return {
+        {"kind", kind},
+        {"account", name.m_account},
+        {"key", name.m_idempotency_key},
+        {"vm", author.m_vm},
+        {"incarnation", author.m_incarnation},
+        {"sequence", author.m_sequence}};
+}
+
+json::object to_json(claim const& entry)
+{
+    auto object = common_fields("claim", entry.m_name, entry.m_author);
+    object["digest"] = entry.m_request_digest;
+    return object;
+}
+
+json::object to_json(claim_outcome const& entry)
+{
+    auto object = common_fields("outcome", entry.m_name, entry.m_author);
+    object["known"] = entry.m_known;
+    object["status"] = entry.m_http_status;
+    json::array headers;
+    for (auto const& [name, value] : entry.m_headers)
+    {
+        headers.push_back(json::array{encode_bytes(name), encode_bytes(value)});
+    }
+    object["headers"] = std::move(headers);
+    object["body"] = encode_bytes(entry.m_body);
+    object["body_length"] = entry.m_body_length;
+    object["body_stored"] = entry.m_body_stored;
+    return object;
+}
+
+json::object to_json(claim_release const& entry)
+{
+    return common_fields("release", entry.m_name, entry.m_author);
+}
+
+void read_headers(object_reader& reader, claim_outcome& outcome)
+{
+    for (json::value const& value : reader.array("headers"))
+    {
+        json::array const* const pair = value.if_array();
+        if (pair == nullptr || pair->size() != 2)
+        {
+            reader.invalid();
+            return;
+        }
+        auto name = reader.decode((*pair)[0]);
+        auto content = reader.decode((*pair)[1]);
+        outcome.m_headers.emplace_back(std::move(name), std::move(content));
+    }
+}
+
+claim_outcome
+read_outcome(object_reader& reader, claim_name name, claim_author author)
+{
+    claim_outcome outcome;
+    outcome.m_name = std::move(name);
+    outcome.m_author = std::move(author);
+    outcome.m_known = reader.flag("known");
+    outcome.m_http_status = static_cast<unsigned>(reader.number("status"));
+    read_headers(reader, outcome);
+    outcome.m_body = reader.bytes("body");
+    outcome.m_body_length = reader.number("body_length");
+    outcome.m_body_stored = reader.flag("body_stored");
+    return outcome;
+}
+
+std::optional<claim_entry> read_entry(json::value const& value)
+{
+    json::object const* const object = value.if_object();
+    if (object == nullptr)
+    {
+        return std::nullopt;
+    }
+    object_reader reader{*object};
+    std::string const kind = reader.text("kind");
+    claim_name name{reader.text("account"), reader.text("key")};
+    claim_author author{
+        reader.text("vm"),
+        reader.number("incarnation"),
+        reader.number("sequence")};
+    std::optional<claim_entry> entry;
+    if (kind == "claim")
+    {
+        entry =
+            claim{std::move(name), std::move(author), reader.text("digest")};
+    }
+    else if (kind == "outcome")
+    {
+        entry = read_outcome(reader, std::move(name), std::move(author));
+    }
+    else if (kind == "release")
+    {
+        entry = claim_release{std::move(name), std::move(author)};
+    }
+    return reader.valid() ? std::move(entry) : std::nullopt;
+}
+
+constexpr std::string_view hex_digits = "0123456789abcdef";
+
+template <std::size_t Size>
+std::optional<std::array<unsigned char, Size>> from_hex(std::string_view text)
+{
+    if (text.size() != 2 * Size)
+    {
+        return std::nullopt;
+    }
+    std::array<unsigned char, Size> bytes{};
+    for (std::size_t i = 0; i < text.size(); ++i)
+    {
+        std::size_t const value = hex_digits.find(text[i]);
+        if (value == std::string_view::npos)
+        {
+            return std::nullopt;
+        }
+        unsigned const shift = i % 2 == 0 ? 4 : 0;
+        bytes[i / 2] |= static_cast<unsigned char>(value << shift);
+    }
+    return bytes;
+}
+
+template <std::size_t Size>
+std::string to_hex(std::array<unsigned char, Size> const& bytes)
+{
+    std::string text;
+    text.reserve(2 * Size);
+    for (unsigned char const byte : bytes)
+    {
+        text.push_back(hex_digits[byte >> 4U]);
+        text.push_back(hex_digits[byte & 15U]);
+    }
+    return text;
+}
+
+} // namespace
+
+std::string to_record(std::span<claim_entry const> entries)
+{
+    json::array items;
+    for (claim_entry const& entry : entries)
+    {
+        items.push_back(std::visit(
+            [](auto const& value)
+            {
+                return to_json(value);
+            },
+            entry));
+    }
+    return json::serialize(
+        json::object{{"format", record_format}, {"entries", std::move(items)}});
+}
+
+std::optional<std::vector<claim_entry>>
+parse_claims_record(std::string_view text)
+{
+    boost::system::error_code error;
+    json::value const value = json::parse(text, error);
+    json::object const* const object = value.if_object();
+    if (error || object == nullptr)
+    {
+        return std::nullopt;
+    }
+    object_reader reader{*object};
+    bool const known = reader.number("format") == record_format;
+    json::array const& items = reader.array("entries");
+    if (!known || !reader.valid())
+    {
+        return std::nullopt;
+    }
+    std::vector<claim_entry> entries;
+    entries.reserve(items.size());
+    for (json::value const& item : items)
+    {
+        auto entry = read_entry(item);
+        if (!entry)
+        {
+            return std::nullopt;
+        }
+        entries.push_back(std::move(*entry));
+    }
+    return entries;
+}
+
+std::size_t
+claim_table::name_hash::operator()(name_key const& name) const noexcept
+{
+    std::size_t seed = name.m_account;
+    boost::hash_range(seed, name.m_uuid.begin(), name.m_uuid.end());
+    return seed;
+}
+
+void claim_table::fold(log_record const& record)
+{
+    if (record.m_offset < m_next_offset)
+    {
+        return;
+    }
+    if (record.m_offset > m_next_offset)
+    {
+        start_anew(record.m_appended_at);
+    }
+    m_next_offset = record.m_offset + 1;
+    auto entries = parse_claims_record(record.m_data);
+    if (!entries)
+    {
+        return;
+    }
+    for (claim_entry& entry : *entries)
+    {
+        std::visit(
+            [&](auto& value)
+            {
+                fold_entry(record, value);
+            },
+            entry);
+    }
+}
+
+void claim_table::fold_entry(log_record const& record, claim const& entry)
+{
+    auto const uuid = parse_uuid_v7(entry.m_name.m_idempotency_key);
+    auto const digest = from_hex<32>(entry.m_request_digest);
+    if (!uuid || !digest ||
+        uuid_time(*uuid) > record.m_appended_at + max_key_lead)
+    {
+        return;
+    }
+    name_key const key{*uuid, intern_account(entry.m_name.m_account)};
+    auto const [found, added] = m_holders.try_emplace(key);
+    holder& held = found->second;
+    if (!added && !held.m_released)
+    {
+        return;
+    }
+    held.m_digest = *digest;
+    held.m_offset = record.m_offset;
+    held.m_claimed_at = record.m_appended_at;
+    held.m_sequence = entry.m_author.m_sequence;
+    held.m_order = m_first_order + m_order.size();
+    held.m_author = intern_author(entry.m_author);
+    held.m_state = claim_state::running;
+    held.m_released = false;
+    m_order.push_back({record.m_offset, &*found});
+    ++m_held;
+}
+
+/// A known outcome may follow an unknown one, never the other way round: a
+/// stored answer that a caller got does not change.
+void claim_table::fold_entry(log_record const& /*record*/, claim_outcome& entry)
+{
+    holder* const held = find_held(entry.m_name, entry.m_author);
+    if (held == nullptr || held->m_state == claim_state::finished)
+    {
+        return;
+    }
+    if (!entry.m_known)
+    {
+        held->m_state = claim_state::in_doubt;
+        return;
+    }
+    held->m_state = claim_state::finished;
+    held->m_outcome = std::make_unique<claim_outcome>(std::move(entry));
+    held->m_outcome->m_name = {};
+    held->m_outcome->m_author = {};
+}
+
+/// A claim with an outcome was run, so that it cannot be released.
+void claim_table::fold_entry(
+    log_record const& /*record*/, claim_release const& entry)
+{
+    holder* const held = find_held(entry.m_name, entry.m_author);
+    if (held == nullptr || held->m_state != claim_state::running)
+    {
+        return;
+    }
+    held->m_released = true;
+    --m_held;
+}
+
+void claim_table::start_anew(wall_time since)
+{
+    m_holders.clear();
+    m_order.clear();
+    m_first_order = 0;
+    m_held = 0;
+    set_covered_since(since);
+}
+
+void claim_table::set_covered_since(wall_time since)
+{
+    m_covered_since = since + max_key_lead;
+}
+
+wall_time claim_table::covered_since() const
+{
+    return m_covered_since;
+}
+
+log_offset claim_table::next_offset() const
+{
+    return m_next_offset;
+}
+
+std::optional<claim_view> claim_table::find(claim_name const& name) const
+{
+    auto const key = find_key(name);
+    if (!key)
+    {
+        return std::nullopt;
+    }
+    auto const found = m_holders.find(*key);
+    if (found == m_holders.end() || found->second.m_released)
+    {
+        return std::nullopt;
+    }
+    return to_view(*found);
+}
+
+std::vector<claim_view> claim_table::unresolved() const
+{
+    std::vector<claim_view> views;
+    for (std::size_t i = 0; i < m_order.size(); ++i)
+    {
+        auto const& held = *m_order[i].m_holder;
+        if (is_current(i) && held.second.m_state != claim_state::finished)
+        {
+            views.push_back(to_view(held));
+        }
+    }
+    return views;
+}
+
+std::vector<claim_view>
+claim_table::running_claims(member const& author, log_offset from) const
+{
+    std::vector<claim_view> views;
+    auto const index = m_author_index.find({author.m_vm, author.m_incarnation});
+    if (index == m_author_index.end())
+    {
+        return views;
+    }
+    auto const start = std::lower_bound(
+        m_order.begin(),
+        m_order.end(),
+        from,
+        [](order_element const& element, log_offset offset)
+        {
+            return element.m_offset < offset;
+        });
+    auto position = static_cast<std::size_t>(start - m_order.begin());
+    for (; position < m_order.size(); ++position)
+    {
+        auto const& held = *m_order[position].m_holder;
+        if (is_current(position) && held.second.m_author == index->second &&
+            held.second.m_state == claim_state::running)
+        {
+            views.push_back(to_view(held));
+        }
+    }
+    return views;
+}
+
+void claim_table::expire(wall_time horizon)
+{
+    m_covered_since = std::max(m_covered_since, horizon + max_key_lead);
+    while (!m_order.empty())
+    {
+        holder const& oldest = m_order.front().m_holder->second;
+        bool const replaced = oldest.m_order != m_first_order;
+        if (!replaced && oldest.m_claimed_at >= horizon)
+        {
+            return;
+        }
+        forget_oldest();
+    }
+}
+
+void claim_table::forget_oldest()
+{
+    auto& [key, held] = *m_order.front().m_holder;
+    if (held.m_order == m_first_order)
+    {
+        m_held -= held.m_released ? 0 : 1;
+        name_key const copy = key;
+        m_holders.erase(copy);
+    }
+    m_order.pop_front();
+    ++m_first_order;
+}
+
+std::size_t claim_table::size() const
+{
+    return m_held;
+}
+
+std::optional<claim_table::name_key>
+claim_table::find_key(claim_name const& name) const
+{
+    auto const uuid = parse_uuid_v7(name.m_idempotency_key);
+    auto const account = m_account_index.find(name.m_account);
+    if (!uuid || account == m_account_index.end())
+    {
+        return std::nullopt;
+    }
+    return name_key{*uuid, account->second};
+}
+
+claim_table::name_index claim_table::intern_account(account_name const& account)
+{
+    auto const next = static_cast<name_index>(m_accounts.size());
+    auto const [found, added] = m_account_index.try_emplace(account, next);
+    if (added)
+    {
+        m_accounts.push_back(&found->first);
+    }
+    return found->second;
+}
+
+claim_table::name_index claim_table::intern_author(claim_author const& author)
+{
+    auto const next = static_cast<name_index>(m_authors.size());
+    auto const [found, added] =
+        m_author_index.try_emplace({author.m_vm, author.m_incarnation}, next);
+    if (added)
+    {
+        m_authors.push_back(&found->first);
+    }
+    return found->second;
+}
+
+bool claim_table::is_author(
+    holder const& held, claim_author const& author) const
+{
+    auto const& [vm, vm_incarnation] = *m_authors[held.m_author];
+    return held.m_sequence == author.m_sequence &&
+           vm_incarnation == author.m_incarnation && vm == author.m_vm;
+}
+
+/// The claim, if it holds its name. Matching the sequence number keeps a late
+/// or repeated release or outcome from affecting a later claim.
+claim_table::holder*
+claim_table::find_held(claim_name const& name, claim_author const& author)
+{
+    auto const key = find_key(name);
+    auto const found = key ? m_holders.find(*key) : m_holders.end();
+    if (found == m_holders.end() || found->second.m_released ||
+        !is_author(found->second, author))
+    {
+        return nullptr;
+    }
+    return &found->second;
+}
+
+/// True if the claim at this position of the log order holds its name.
+bool claim_table::is_current(std::size_t position) const
+{
+    holder const& held = m_order[position].m_holder->second;
+    return held.m_order == m_first_order + position && !held.m_released;
+}
+
+claim_view claim_table::to_view(holders::value_type const& item) const
+{
+    auto const& [key, held] = item;
+    auto const& [vm, vm_incarnation] = *m_authors[held.m_author];
+    claim_view view;
+    view.m_claim.m_name = {*m_accounts[key.m_account], to_text(key.m_uuid)};
+    view.m_claim.m_author = {vm, vm_incarnation, held.m_sequence};
+    view.m_claim.m_request_digest = to_hex(held.m_digest);
+    view.m_offset = held.m_offset;
+    view.m_claimed_at = held.m_claimed_at;
+    view.m_state = held.m_state;
+    if (held.m_outcome)
+    {
+        view.m_outcome = *held.m_outcome;
+        view.m_outcome->m_name = view.m_claim.m_name;
+        view.m_outcome->m_author = view.m_claim.m_author;
+    }
+    return view;
+}
+
+} // namespace briarhub
--- a/src/claim_table.hpp
+++ b/src/claim_table.hpp
@@ -4,9 +4,15 @@
 /// Deterministic fold of a claims stream: who may run a non-idempotent
 /// request, and its outcome. Pure: no I/O, reads no clock.
 
+#include "claim_key.hpp"
 #include "types.hpp"
 
+#include <array>
+#include <compare>
 #include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -22,6 +28,18 @@
 /// kept.
 inline constexpr std::size_t max_stored_body_bytes = 16 * 1024;
 
+/// Stored header fields are at most this large together.
+inline constexpr std::size_t max_stored_header_bytes = 8 * 1024;
+
+/// Tolerated difference between a VM's clock and the log's.
+inline constexpr std::chrono::seconds log_clock_skew{60};
+
+/// A claim is valid only if its key's time is at most this much later than the
+/// append of its record. So all valid claims of a key are found from this long
+/// before the key's time on, whatever clock the claimers have.
+inline constexpr std::chrono::seconds max_key_lead =
+    idempotency_key_skew + log_clock_skew;
+
 /// Names a request across retries.
 struct claim_name
 {
@@ -91,46 +109,109 @@
     std::optional<claim_outcome> m_outcome;
 };
 
+/// The first claim of a name that is valid and not released holds the name.
+/// A claim that finds its name held loses for good, also if the holder is
+/// released later: the verdict depends only on the log up to the claim.
 class claim_table
 {
 public:
     /// Folds one record. Records must come in the order of their offsets; an
-    /// offset that was folded before is ignored.
+    /// offset that was folded before is ignored. After a gap, the table starts
+    /// anew: claims before the gap may have been released or replaced in it.
     void fold(log_record const& record);
 
     /// Tells the table that the stream was read without a gap from a record
-    /// appended at `since`.
+    /// appended at `since`, or from its start with `wall_time{}`. After a gap
+    /// the table does this itself.
     void set_covered_since(wall_time since);
 
-    /// Claims of requests with a key time at or after this are all known.
+    /// Claims of requests with a key time at or after this are all known. The
+    /// maximum until the stream's coverage is known.
     [[nodiscard]] wall_time covered_since() const;
 
     [[nodiscard]] log_offset next_offset() const;
 
     /// The claim that holds the name, if any.
-    [[nodiscard]] claim_view const* find(claim_name const& name) const;
+    [[nodiscard]] std::optional<claim_view> find(claim_name const& name) const;
 
     /// Claims without a known outcome, oldest first.
     [[nodiscard]] std::vector<claim_view> unresolved() const;
 
+    /// Claims folded at or after `from` that hold their names, are running and
+    /// were made by `author`.
+    [[nodiscard]] std::vector<claim_view>
+    running_claims(member const& author, log_offset from) const;
+
     /// Forgets claims appended before `horizon`; moves `covered_since`.
     void expire(wall_time horizon);
 
     [[nodiscard]] std::size_t size() const;
 
 private:
+    using name_index = std::uint32_t;
+    using digest_bytes = std::array<unsigned char, 32>;
+
+    struct name_key
+    {
+        uuid_bytes m_uuid{};
+        name_index m_account = 0;
+
+        friend bool operator==(name_key const&, name_key const&) = default;
+    };
+
     struct name_hash
     {
-        std::size_t operator()(claim_name const& name) const noexcept;
+        std::size_t operator()(name_key const& name) const noexcept;
+    };
+
+    /// A claim in few bytes: many are kept for the time of the retention.
+    struct holder
+    {
+        digest_bytes m_digest{};
+        log_offset m_offset = 0;
+        wall_time m_claimed_at{};
+        std::uint64_t m_sequence = 0;
+        std::uint64_t m_order = 0;                ///< its element of `m_order`
+        std::unique_ptr<claim_outcome> m_outcome; ///< without name and author
+        name_index m_author = 0;
+        claim_state m_state = claim_state::running;
+        bool m_released = false; ///< the name is free
+    };
+
+    using holders = std::unordered_map<name_key, holder, name_hash>;
+
+    struct order_element
+    {
+        log_offset m_offset = 0;
+        holders::value_type* m_holder = nullptr;
     };
 
     void fold_entry(log_record const& record, claim const& entry);
-    void fold_entry(log_record const& record, claim_outcome const& entry);
+    void fold_entry(log_record const& record, claim_outcome& entry);
     void fold_entry(log_record const& record, claim_release const& entry);
-
-    std::unordered_map<claim_name, claim_view, name_hash> m_claims;
+    void start_anew(wall_time since);
+    void forget_oldest();
+    [[nodiscard]] std::optional<name_key>
+    find_key(claim_name const& name) const;
+    name_index intern_account(account_name const& account);
+    name_index intern_author(claim_author const& author);
+    [[nodiscard]] bool
+    is_author(holder const& held, claim_author const& author) const;
+    holder* find_held(claim_name const& name, claim_author const& author);
+    [[nodiscard]] bool is_current(std::size_t position) const;
+    [[nodiscard]] claim_view to_view(holders::value_type const& held) const;
+
+    holders m_holders;
+    std::size_t m_held = 0; ///< holders that are not released
+    /// Claims in log order, also released and replaced ones.
+    std::deque<order_element> m_order;
+    std::uint64_t m_first_order = 0; ///< number of the front of `m_order`
+    std::map<account_name, name_index, std::less<>> m_account_index;
+    std::vector<account_name const*> m_accounts;
+    std::map<std::pair<vm_id, incarnation>, name_index> m_author_index;
+    std::vector<std::pair<vm_id, incarnation> const*> m_authors;
     log_offset m_next_offset = 0;
-    wall_time m_covered_since{};
+    wall_time m_covered_since = wall_time::max();
 };
 
 } // namespace briarhub
--- /dev/null
+++ b/src/claim_writer.cpp
@@ -0,0 +1,517 @@
+#include "claim_writer.hpp"
+
+#include "claim_key.hpp"
+
+#include <algorithm>
+#include <unordered_set>
+#include <utility>
+
+namespace briarhub
+{
+namespace
+{
+
+/// JSON of an entry without its variable texts.
+constexpr std::size_t entry_overhead_bytes = 512;
+
+/// Upper limit of an entry's size in a record. Plain text at most doubles when
+/// it is escaped, and base64 adds a third.
+std::size_t record_size(claim_entry const& entry)
+{
+    auto const* const outcome = std::get_if<claim_outcome>(&entry);
+    std::size_t size = entry_overhead_bytes;
+    if (outcome != nullptr)
+    {
+        size += 2 * outcome->m_body.size();
+        for (auto const& [name, value] : outcome->m_headers)
+        {
+            size += 2 * (name.size() + value.size()) + entry_overhead_bytes / 8;
+        }
+    }
+    return size;
+}
+
+std::size_t header_bytes(claim_outcome const& outcome)
+{
+    std::size_t size = 0;
+    for (auto const& [name, value] : outcome.m_headers)
+    {
+        size += name.size() + value.size();
+    }
+    return size;
+}
+
+/// One text for one key, so that a retry in upper case names the same claim.
+void normalise(claim_name& name)
+{
+    if (auto const uuid = parse_uuid_v7(name.m_idempotency_key))
+    {
+        name.m_idempotency_key = to_text(*uuid);
+    }
+}
+
+bool is_key_covered(claim_name const& name, claim_table const& table)
+{
+    auto const time = uuid_v7_time(name.m_idempotency_key);
+    return time && *time >= table.covered_since();
+}
+
+/// Why a request whose key is not covered is refused. While the stream was not
+/// read from its start, every key is too old for the table.
+result_code uncovered_code(claim_table const& table)
+{
+    return table.covered_since() == wall_time::max()
+               ? result_code::claims_unavailable
+               : result_code::idempotency_key_expired;
+}
+
+claim_release make_release(claim const& released)
+{
+    return {released.m_name, released.m_author};
+}
+
+claim_verdict finished_verdict(claim_outcome const& outcome)
+{
+    if (!outcome.m_body_stored)
+    {
+        return claim_refused{result_code::outcome_not_stored};
+    }
+    return claim_finished{outcome};
+}
+
+} // namespace
+
+claim_writer::claim_writer(member self) : m_self(std::move(self))
+{
+}
+
+void claim_writer::request(
+    time_point /*now*/,
+    request_ticket ticket,
+    claim_name name,
+    std::string request_digest,
+    time_point deadline)
+{
+    normalise(name);
+    pending_claim pending;
+    pending.m_ticket = ticket;
+    pending.m_claim.m_name = std::move(name);
+    pending.m_claim.m_request_digest = std::move(request_digest);
+    pending.m_deadline = deadline;
+    enqueue(pending);
+    m_pending.push_back(std::move(pending));
+}
+
+/// Every attempt has a sequence number of its own, so that the release of an
+/// earlier one cannot free it.
+void claim_writer::enqueue(pending_claim& pending)
+{
+    pending.m_claim.m_author = {
+        m_self.m_vm, m_self.m_incarnation, m_next_sequence++};
+    pending.m_stage = claim_stage::queued;
+    ++pending.m_attempts;
+    m_unsent.emplace_back(pending.m_claim);
+}
+
+void claim_writer::remove_unsent(std::uint64_t sequence)
+{
+    std::erase_if(
+        m_unsent,
+        [&](claim_entry const& entry)
+        {
+            auto const* const queued = std::get_if<claim>(&entry);
+            return queued != nullptr && queued->m_author.m_sequence == sequence;
+        });
+}
+
+void claim_writer::cancel(request_ticket ticket)
+{
+    for (pending_claim& pending : m_pending)
+    {
+        if (pending.m_ticket == ticket)
+        {
+            pending.m_cancelled = true;
+        }
+    }
+}
+
+void claim_writer::record_outcome(claim_outcome outcome)
+{
+    normalise(outcome.m_name);
+    if (!outcome.m_known)
+    {
+        outcome.m_headers.clear();
+        outcome.m_body.clear();
+    }
+    if (outcome.m_body.size() > max_stored_body_bytes ||
+        header_bytes(outcome) > max_stored_header_bytes)
+    {
+        outcome.m_body_length = std::max<std::uint64_t>(
+            outcome.m_body_length, outcome.m_body.size());
+        outcome.m_body.clear();
+        outcome.m_headers.clear();
+        outcome.m_body_stored = false;
+    }
+    m_unsent.emplace_back(std::move(outcome));
+}
+
+void claim_writer::release(claim_release release)
+{
+    normalise(release.m_name);
+    m_unsent.emplace_back(std::move(release));
+}
+
+void claim_writer::set_member_count(std::size_t count)
+{
+    m_member_count = std::max<std::size_t>(count, 1);
+}
+
+std::chrono::nanoseconds claim_writer::append_interval() const
+{
+    std::chrono::duration<double> const seconds{
+        static_cast<double>(m_member_count) / claim_append_budget_per_second};
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(seconds);
+}
+
+std::optional<std::string> claim_writer::take_append(time_point now)
+{
+    if (!m_in_flight.empty() || m_unsent.empty() || now < m_next_append)
+    {
+        return std::nullopt;
+    }
+    std::size_t size = 0;
+    while (!m_unsent.empty())
+    {
+        size += record_size(m_unsent.front());
+        if (!m_in_flight.empty() && size > max_batch_bytes)
+        {
+            break;
+        }
+        m_in_flight.push_back(std::move(m_unsent.front()));
+        m_unsent.pop_front();
+    }
+    set_stage_in_flight(claim_stage::in_flight);
+    m_next_append = now + append_interval();
+    return to_record(m_in_flight);
+}
+
+/// Sets the stage of the requests whose claims are in the current append.
+void claim_writer::set_stage_in_flight(claim_stage stage, log_offset offset)
+{
+    std::unordered_set<std::uint64_t> sequences;
+    for (claim_entry const& entry : m_in_flight)
+    {
+        if (auto const* const sent = std::get_if<claim>(&entry))
+        {
+            sequences.insert(sent->m_author.m_sequence);
+        }
+    }
+    for (pending_claim& pending : m_pending)
+    {
+        if (sequences.contains(pending.m_claim.m_author.m_sequence))
+        {
+            pending.m_stage = stage;
+            pending.m_offset = offset;
+        }
+    }
+}
+
+/// Puts outcomes and releases of the failed append back to the front.
+void claim_writer::keep_in_flight()
+{
+    for (auto entry = m_in_flight.rbegin(); entry != m_in_flight.rend();
+         ++entry)
+    {
+        if (!std::holds_alternative<claim>(*entry))
+        {
+            m_unsent.push_front(std::move(*entry));
+        }
+    }
+}
+
+void claim_writer::end_append(time_point now, std::chrono::nanoseconds wait)
+{
+    m_in_flight.clear();
+    m_next_append = std::max(m_next_append, now + wait);
+}
+
+void claim_writer::append_succeeded(time_point now, log_offset offset)
+{
+    set_stage_in_flight(claim_stage::appended, offset);
+    end_append(now, std::chrono::nanoseconds{0});
+}
+
+void claim_writer::append_refused(time_point now)
+{
+    set_stage_in_flight(claim_stage::refused);
+    for (claim_entry const& entry : m_in_flight)
+    {
+        if (auto const* const sent = std::get_if<claim>(&entry))
+        {
+            m_abandoned.erase(sent->m_author.m_sequence);
+        }
+    }
+    keep_in_flight();
+    end_append(now, append_retry_interval);
+}
+
+void claim_writer::append_unknown(time_point now)
+{
+    set_stage_in_flight(claim_stage::unknown);
+    keep_in_flight();
+    end_append(now, append_retry_interval);
+}
+
+std::vector<claim_decision>
+claim_writer::poll(time_point now, claim_table const& table)
+{
+    release_abandoned(table);
+    std::vector<claim_decision> decisions;
+    std::vector<pending_claim> undecided;
+    for (pending_claim& pending : m_pending)
+    {
+        if (pending.m_cancelled)
+        {
+            give_up(pending, table);
+            continue;
+        }
+        auto verdict = decide(now, table, pending);
+        if (verdict)
+        {
+            decisions.push_back({pending.m_ticket, std::move(*verdict)});
+            continue;
+        }
+        undecided.push_back(std::move(pending));
+    }
+    m_pending = std::move(undecided);
+    return decisions;
+}
+
+/// Releases abandoned claims that appeared in the log. Only then is the claim
+/// certain to come before its release in the log.
+void claim_writer::release_abandoned(claim_table const& table)
+{
+    log_offset const from = m_searched;
+    m_searched = table.next_offset();
+    if (m_abandoned.empty())
+    {
+        return;
+    }
+    for (claim_view const& held : table.running_claims(m_self, from))
+    {
+        if (m_abandoned.erase(held.m_claim.m_author.m_sequence) > 0)
+        {
+            release(make_release(held.m_claim));
+        }
+    }
+}
+
+/// Makes sure that the claim of the present attempt is never run.
+void claim_writer::give_up(pending_claim& pending, claim_table const& table)
+{
+    claim const& given_up = pending.m_claim;
+    auto const sequence = given_up.m_author.m_sequence;
+    if (pending.m_stage == claim_stage::queued)
+    {
+        remove_unsent(sequence);
+    }
+    else if (is_owner(pending, table))
+    {
+        release(make_release(given_up));
+    }
+    else if (may_appear(pending, table))
+    {
+        m_abandoned.emplace(sequence, given_up.m_name);
+        // Sequence numbers rise, so that the first element is the oldest.
+        if (m_abandoned.size() > max_abandoned_claims)
+        {
+            m_abandoned.erase(m_abandoned.begin());
+        }
+    }
+    pending.m_stage = claim_stage::none;
+}
+
+/// True if the claim of the present attempt holds its name in the table.
+bool claim_writer::is_owner(
+    pending_claim const& pending, claim_table const& table)
+{
+    if (pending.m_stage == claim_stage::queued ||
+        pending.m_stage == claim_stage::refused ||
+        pending.m_stage == claim_stage::none)
+    {
+        return false;
+    }
+    auto const holder = table.find(pending.m_claim.m_name);
+    return holder && holder->m_claim.m_author == pending.m_claim.m_author;
+}
+
+/// True if the claim of the present attempt may be in the part of the log that
+/// is not folded.
+bool claim_writer::may_appear(
+    pending_claim const& pending, claim_table const& table)
+{
+    switch (pending.m_stage)
+    {
+    case claim_stage::in_flight:
+    case claim_stage::unknown:
+        return true;
+    case claim_stage::appended:
+        return table.next_offset() <= pending.m_offset;
+    case claim_stage::queued:
+    case claim_stage::refused:
+    case claim_stage::none:
+        return false;
+    }
+    return false;
+}
+
+/// The rules in this order: a claim that holds its name wins; one that is on
+/// its way is waited for; otherwise the holder of the name decides.
+claim_writer::optional_verdict claim_writer::decide(
+    time_point now, claim_table const& table, pending_claim& pending)
+{
+    if (pending.m_stage == claim_stage::unknown)
+    {
+        give_up(pending, table);
+        pending.m_stage = claim_stage::refused;
+        return decide_other(now, table, pending);
+    }
+    if (is_owner(pending, table))
+    {
+        return decide_own(now, table, pending);
+    }
+    if (may_appear(pending, table))
+    {
+        if (now < pending.m_deadline)
+        {
+            return std::nullopt;
+        }
+        give_up(pending, table);
+    }
+    if (pending.m_stage == claim_stage::appended)
+    {
+        pending.m_stage = claim_stage::none;
+    }
+    return decide_other(now, table, pending);
+}
+
+claim_writer::optional_verdict claim_writer::decide_own(
+    time_point now, claim_table const& table, pending_claim& own)
+{
+    if (now >= own.m_deadline)
+    {
+        give_up(own, table);
+        return claim_refused{result_code::claims_unavailable};
+    }
+    if (!is_key_covered(own.m_claim.m_name, table))
+    {
+        // An earlier claim of the same name may be forgotten.
+        give_up(own, table);
+        return claim_refused{uncovered_code(table)};
+    }
+    return claim_won{own.m_claim.m_author};
+}
+
+/// Decides a request that has no claim in the log or on its way there.
+claim_writer::optional_verdict claim_writer::decide_other(
+    time_point now, claim_table const& table, pending_claim& pending)
+{
+    auto const holder = table.find(pending.m_claim.m_name);
+    if (holder && holder->m_claim.m_author != pending.m_claim.m_author)
+    {
+        return decide_held(now, *holder, table, pending);
+    }
+    return decide_free(now, table, pending);
+}
+
+claim_writer::optional_verdict claim_writer::decide_held(
+    time_point now,
+    claim_view const& holder,
+    claim_table const& table,
+    pending_claim& pending)
+{
+    // Its own claim would lose; it is made again if the holder is released.
+    give_up(pending, table);
+    if (holder.m_claim.m_request_digest != pending.m_claim.m_request_digest)
+    {
+        return claim_refused{result_code::idempotency_key_reused};
+    }
+    if (holder.m_state == claim_state::finished)
+    {
+        return finished_verdict(*holder.m_outcome);
+    }
+    claim_author const& author = holder.m_claim.m_author;
+    bool const author_ended = author.m_vm == m_self.m_vm &&
+                              author.m_incarnation != m_self.m_incarnation;
+    if (holder.m_state == claim_state::in_doubt || author_ended)
+    {
+        return claim_refused{result_code::claim_in_doubt};
+    }
+    if (now >= pending.m_deadline)
+    {
+        return claim_refused{result_code::claim_in_progress};
+    }
+    return std::nullopt;
+}
+
+claim_writer::optional_verdict claim_writer::decide_free(
+    time_point now, claim_table const& table, pending_claim& pending)
+{
+    if (!is_key_covered(pending.m_claim.m_name, table))
+    {
+        give_up(pending, table);
+        return claim_refused{uncovered_code(table)};
+    }
+    bool const refused = pending.m_stage == claim_stage::refused;
+    bool const exhausted = pending.m_stage == claim_stage::none &&
+                           pending.m_attempts >= max_claim_attempts;
+    if (refused || exhausted || now >= pending.m_deadline)
+    {
+        give_up(pending, table);
+        return claim_refused{result_code::claims_unavailable};
+    }
+    if (pending.m_stage == claim_stage::none)
+    {
+        enqueue(pending);
+    }
+    return std::nullopt;
+}
+
+bool claim_writer::needs_read(claim_table const& table) const
+{
+    return std::any_of(
+        m_pending.begin(),
+        m_pending.end(),
+        [&](pending_claim const& pending)
+        {
+            return pending.m_stage == claim_stage::none ||
+                   (pending.m_stage == claim_stage::appended &&
+                    table.next_offset() <= pending.m_offset);
+        });
+}
+
+time_point claim_writer::next_poll() const
+{
+    bool const can_append = m_in_flight.empty() && !m_unsent.empty();
+    time_point next = can_append ? m_next_append : time_point::max();
+    for (pending_claim const& pending : m_pending)
+    {
+        bool const due = pending.m_cancelled ||
+                         pending.m_stage == claim_stage::refused ||
+                         pending.m_stage == claim_stage::unknown;
+        next = std::min(next, due ? time_point::min() : pending.m_deadline);
+    }
+    return next;
+}
+
+bool claim_writer::has_unsent() const
+{
+    auto const is_kept = [](claim_entry const& entry)
+    {
+        return !std::holds_alternative<claim>(entry);
+    };
+    return std::any_of(m_unsent.begin(), m_unsent.end(), is_kept) ||
+           std::any_of(m_in_flight.begin(), m_in_flight.end(), is_kept);
+}
+
+} // namespace briarhub
--- a/src/claim_writer.hpp
+++ b/src/claim_writer.hpp
@@ -14,7 +14,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -53,12 +52,32 @@
     claim_verdict m_verdict;
 };
 
+/// A failed append is not repeated for outcomes and releases before this time
+/// has passed, so that an outage of the log costs few requests.
+inline constexpr std::chrono::milliseconds append_retry_interval{250};
+
+/// A claim whose name was freed by a release is made again at most this often.
+inline constexpr unsigned max_claim_attempts = 16;
+
+/// Abandoned claims that are released when they appear in the log. If more
+/// wait, the oldest are forgotten; when they appear they stay in doubt, which
+/// is safe.
+inline constexpr std::size_t max_abandoned_claims = 16384;
+
+/// Entries are added to a record up to this size; a single entry stays below
+/// the platform's limit of 256 KiB.
+inline constexpr std::size_t max_batch_bytes = 128 * 1024;
+
+/// A `not_run` refusal means that this attempt sent nothing and never will. If
+/// the table holds the claim of another attempt with the same digest, the
+/// request is never refused as `not_run`.
 class claim_writer
 {
 public:
     explicit claim_writer(member self);
 
-    /// Asks for the right to run a request before `deadline`.
+    /// Asks for the right to run a request before `deadline`. Exactly one
+    /// decision follows from `poll`, unless the ticket is cancelled.
     void request(
         time_point now,
         request_ticket ticket,
@@ -66,7 +85,8 @@
         std::string request_digest,
         time_point deadline);
 
-    /// The caller of an undecided request is gone.
+    /// The caller of an undecided request is gone. A decision that was already
+    /// returned stands: the receiver of `claim_won` must release it.
     void cancel(request_ticket ticket);
 
     /// After the run, or when the author gives the claim up unsent.
@@ -97,29 +117,75 @@
     /// True while a decision waits for records that are not folded yet.
     [[nodiscard]] bool needs_read(claim_table const& table) const;
 
+    /// When `take_append` or `poll` has something to do next, apart from
+    /// answers of the log; the maximum if nothing is pending.
     [[nodiscard]] time_point next_poll() const;
 
+    /// Outcomes and releases that are not acknowledged by the log yet.
+    [[nodiscard]] bool has_unsent() const;
+
 private:
+    /// The claim of the present attempt.
+    enum class claim_stage
+    {
+        queued,    ///< not given to the log
+        in_flight, ///< no answer from the log yet
+        appended,  ///< in the log at `m_offset`
+        refused,   ///< certainly not in the log; the log is not available
+        unknown,   ///< may be in the log or appear there later
+        none       ///< lost, or not needed: another claim holds the name
+    };
+
     struct pending_claim
     {
         request_ticket m_ticket = 0;
         claim m_claim;
         time_point m_deadline{};
-        bool m_appended = false;
-        std::optional<log_offset> m_offset;
-        bool m_waits_for_winner = false;
+        claim_stage m_stage = claim_stage::queued;
+        log_offset m_offset = 0;
+        unsigned m_attempts = 0;
         bool m_cancelled = false;
     };
 
+    using optional_verdict = std::optional<claim_verdict>;
+
+    void enqueue(pending_claim& pending);
+    void remove_unsent(std::uint64_t sequence);
+    void set_stage_in_flight(claim_stage stage, log_offset offset = 0);
+    void keep_in_flight();
+    void end_append(time_point now, std::chrono::nanoseconds wait);
+    void release_abandoned(claim_table const& table);
+    void give_up(pending_claim& pending, claim_table const& table);
+    static bool
+    is_owner(pending_claim const& pending, claim_table const& table);
+    static bool
+    may_appear(pending_claim const& pending, claim_table const& table);
+    optional_verdict
+    decide(time_point now, claim_table const& table, pending_claim& pending);
+    optional_verdict
+    decide_own(time_point now, claim_table const& table, pending_claim& own);
+    optional_verdict decide_other(
+        time_point now, claim_table const& table, pending_claim& pending);
+    optional_verdict decide_held(
+        time_point now,
+        claim_view const& holder,
+        claim_table const& table,
+        pending_claim& pending);
+    optional_verdict decide_free(
+        time_point now, claim_table const& table, pending_claim& pending);
+    [[nodiscard]] std::chrono::nanoseconds append_interval() const;
+
     member m_self;
     std::uint64_t m_next_sequence = 1;
     std::size_t m_member_count = 1;
     std::vector<pending_claim> m_pending;
     std::deque<claim_entry> m_unsent;
     std::vector<claim_entry> m_in_flight;
-    /// Claims given up after an unknown append, to be released on sight.
-    std::map<std::uint64_t, claim> m_abandoned;
-    std::optional<time_point> m_last_append;
+    /// Claims that are given up but may appear in the log, by sequence number.
+    std::map<std::uint64_t, claim_name> m_abandoned;
+    /// Abandoned claims before this offset were looked for.
+    log_offset m_searched = 0;
+    time_point m_next_append = time_point::min();
 };
 
 } // namespace briarhub
