--- a/tests/stand_ins/platform_stand_in.hpp
+++ b/tests/stand_ins/platform_stand_in.hpp
@@ -16,7 +16,7 @@
 ///        the VM sends, or what is sent to it
 ///   POST /test/trim {"stream","before"}  forgets records before an offset
 ///   PUT  /test/vms  the body that GET /vms shows after the list lag
-///   GET  /test/counters  appends, refused appends and reads so far
+///   GET  /test/counters  requests received, appends, refused appends, reads
 
 #include "clock.hpp"
 #include "types.hpp"
@@ -181,6 +181,7 @@
         {
             co_return control(received, target.substr(6));
         }
+        ++m_received;
         std::string const vm{received["Briarhub-Vm"]};
         if (is_cut(vm, true))
         {
@@ -437,6 +438,7 @@
             return {
                 200,
                 json::object{
+                    {"received", m_received},
                     {"appends", m_appends},
                     {"refused", m_refused},
                     {"reads", m_reads}}};
@@ -513,6 +515,7 @@
     std::uint64_t m_answers_to_lose = 0;
     std::string m_lossy_stream;
     std::chrono::milliseconds m_delay{0};
+    std::uint64_t m_received = 0; ///< requests but those of test control
     std::uint64_t m_appends = 0;
     std::uint64_t m_refused = 0;
     std::uint64_t m_reads = 0;
