--- a/src/config.hpp
+++ b/src/config.hpp
@@ -170,7 +170,8 @@
 /// True for names of services, work classes and accounts and for key ids.
 bool is_valid_name(std::string_view name);
 
-/// Applies an operation; the result still needs `validate`.
+/// Applies an operation; the result still needs `validate`. Calls are best
+/// qualified: a non-const operation would select `std::apply`.
 void apply(config& configuration, config_operation const& operation);
 
 /// Operations that turn `from` into `to`, removals last.
--- /dev/null
+++ b/tests/config_test.cpp
@@ -0,0 +1,242 @@
+#include "config.hpp"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <doctest/doctest.h>
+
+#include <fstream>
+#include <iterator>
+#include <random>
+
+using namespace briarhub;
+namespace json = boost::json;
+
+namespace
+{
+
+std::string read_example(std::string const& name)
+{
+    std::string const here = __FILE__;
+    std::string const root = here.substr(0, here.rfind("tests/"));
+    std::ifstream file{root + "examples/" + name + ".json"};
+    return {std::istreambuf_iterator<char>{file}, {}};
+}
+
+config load(std::string const& text)
+{
+    auto parsed = parse_config(text);
+    if (auto const* const errors = std::get_if<config_errors>(&parsed))
+    {
+        for (config_error const& error : *errors)
+        {
+            MESSAGE(error.m_path << " " << error.m_message);
+        }
+    }
+    REQUIRE(std::holds_alternative<config>(parsed));
+    return std::get<config>(parsed);
+}
+
+/// The example with the value at a path replaced or, if null, removed.
+config_errors
+errors_with(std::vector<std::string> const& path, json::value const& value)
+{
+    json::value text = json::parse(read_example("kolamba"));
+    json::value* place = &text;
+    for (std::size_t i = 0; i + 1 < path.size(); ++i)
+    {
+        place = &place->as_object()[path[i]];
+    }
+    if (!value.is_null())
+    {
+        place->as_object()[path.back()] = value;
+    }
+    else
+    {
+        place->as_object().erase(path.back());
+    }
+    auto parsed = parse_config(json::serialize(text));
+    auto const* const errors = std::get_if<config_errors>(&parsed);
+    return errors == nullptr ? config_errors{} : *errors;
+}
+
+} // namespace
+
+TEST_CASE("the examples are valid and keep their properties")
+{
+    // A wrong example would fail at its first use, or run a repayment twice.
+    for (std::string const name : {"kairouan", "kolamba"})
+    {
+        config const example = load(read_example(name));
+        CHECK(example.m_accounts.size() == 8);
+        CHECK(load(to_json_text(example)) == example);
+        for (auto const& [class_name, work_class] : example.m_work_classes)
+        {
+            CHECK(work_class.m_idempotent == (work_class.m_method == "GET"));
+            CHECK(
+                work_class.m_archive ==
+                (class_name.find("archive") != std::string::npos));
+        }
+    }
+}
+
+TEST_CASE("errors name the path of the field")
+{
+    // Without the path an operator cannot find the field in a large file; a
+    // missing rule would let an unusable configuration into force.
+    struct bad_field
+    {
+        std::vector<std::string> m_path;
+        json::value m_value;
+        std::string m_error_path;
+    };
+    std::string const preview = "work_classes.preview";
+    std::vector<std::string> const at_preview{"work_classes", "preview"};
+    auto const in_preview =
+        [&](std::string const& field, json::value const& value)
+    {
+        std::vector<std::string> path = at_preview;
+        path.push_back(field);
+        return bad_field{path, value, preview + "." + field};
+    };
+    std::string const key = "groomers-guild-1";
+    std::vector<bad_field> const cases{
+        in_preview("deadline_ms", 10),
+        in_preview("deadline_ms", 3'600'001),
+        in_preview("deadline_ms", 10.5),
+        in_preview("latency_target_ms", 0),
+        in_preview("success_target", 0),
+        in_preview("success_target", 1.01),
+        in_preview("service", "nowhere"),
+        in_preview("service", json::value{}),
+        in_preview("method", "get"),
+        in_preview("path_prefix", "/previews/"),
+        in_preview("path_prefix", "/a/../b"),
+        in_preview("path_prefix", "/a?b"),
+        in_preview("accounts", json::value(json::array{"nobody"})),
+        in_preview("deadline", 5),
+        in_preview("idempotent", "yes"),
+        {{"services", "order-desk", "floor"}, 1.5, "services.order-desk.floor"},
+        {{"services", "a b"}, json::object{}, "services.a b"},
+        {{"service"}, json::object{}, "service"},
+        {{"accounts", "groomers-guild", "burst"},
+         0.5,
+         "accounts.groomers-guild.burst"},
+        {{"accounts", "groomers-guild", "rate_per_s"},
+         1e300,
+         "accounts.groomers-guild.rate_per_s"},
+        {{"keys", key, "digest"}, "AB", "keys." + key + ".digest"},
+        {{"keys", key, "account"}, "nobody", "keys." + key + ".account"},
+        {{"detection", "false_ejections_per_hour"},
+         0,
+         "detection.false_ejections_per_hour"},
+        {{"work_classes", "engraving-order", "archive"},
+         true,
+         "work_classes.engraving-order.archive"}};
+    for (bad_field const& bad : cases)
+    {
+        config_errors const errors = errors_with(bad.m_path, bad.m_value);
+        CAPTURE(bad.m_error_path);
+        REQUIRE(errors.size() == 1);
+        CHECK(errors[0].m_path == bad.m_error_path);
+        CHECK(errors[0].m_message.size() > 10);
+    }
+}
+
+TEST_CASE("two work classes cannot share method and path prefix")
+{
+    // The route of a request would depend on the order of the classes.
+    auto const path = [](char const* field)
+    {
+        return std::vector<std::string>{
+            "work_classes", "engraving-order", field};
+    };
+    CHECK(errors_with(path("path_prefix"), "/previews").empty());
+    config both = load(read_example("kolamba"));
+    both.m_work_classes["preview"].m_method = "POST";
+    both.m_work_classes["preview"].m_path_prefix = "/engraving-orders";
+    config_errors const errors = validate(both);
+    REQUIRE(errors.size() == 1);
+    CHECK(errors[0].m_path == "work_classes.preview.path_prefix");
+}
+
+TEST_CASE("a difference turns one configuration into another")
+{
+    // briarctl sends the difference; a missing operation would leave a part of
+    // the old configuration in force.
+    config const from = load(read_example("kairouan"));
+    config const to = load(read_example("kolamba"));
+    config result = from;
+    for (config_operation const& operation : diff(from, to))
+    {
+        json::value const text =
+            json::parse(json::serialize(to_json(operation)));
+        auto parsed = parse_operation(text, "operations[0]");
+        REQUIRE(std::holds_alternative<config_operation>(parsed));
+        briarhub::apply(result, std::get<config_operation>(parsed));
+    }
+    CHECK(result == to);
+    CHECK(diff(to, to).empty());
+}
+
+TEST_CASE("bad operations are refused with their path")
+{
+    // A misread operation would do something else than the operator asked.
+    auto const first_path = [](char const* text) -> std::string
+    {
+        auto parsed = parse_operation(json::parse(text), "operations[2]");
+        auto const* const errors = std::get_if<config_errors>(&parsed);
+        return errors == nullptr ? "" : errors->front().m_path;
+    };
+    CHECK(first_path(R"([])") == "operations[2]");
+    CHECK(first_path(R"({"op":"drop"})") == "operations[2].op");
+    CHECK(first_path(R"({"op":"withdraw_key"})") == "operations[2].name");
+    CHECK(
+        first_path(R"({"op":"withdraw_key","name":"k","x":1})") ==
+        "operations[2].x");
+    CHECK(
+        first_path(R"({"op":"put_account","name":"a","burst":1})") ==
+        "operations[2].rate_per_s");
+}
+
+TEST_CASE("numbers are the same on every VM")
+{
+    // Boost.JSON 1.81 may read a decimal one bit off, so that a state read
+    // from a snapshot would differ from the one it was made of.
+    constexpr std::uint32_t seed = 11;
+    MESSAGE("seed " << seed);
+    std::mt19937 random{seed};
+    std::uniform_real_distribution<double> rates{1, 1e6};
+    config some = load(read_example("kolamba"));
+    for (int i = 0; i < 2000; ++i)
+    {
+        some.m_accounts["groomers-guild"].m_rate = rates(random);
+        config const once = load(to_json_text(some));
+        REQUIRE(load(to_json_text(once)) == once);
+    }
+}
+
+TEST_CASE("damaged text is refused or yields a valid configuration")
+{
+    // A crash or an unchecked value would take down or confuse every VM.
+    constexpr std::uint32_t seed = 12;
+    MESSAGE("seed " << seed);
+    std::mt19937 random{seed};
+    std::string const text = to_json_text(load(read_example("kolamba")));
+    int refused = 0;
+    for (int i = 0; i < 3000; ++i)
+    {
+        std::string damaged = text;
+        for (unsigned n = random() % 3 + 1; n > 0; --n)
+        {
+            damaged[random() % damaged.size()] = static_cast<char>(random());
+        }
+        auto const parsed = parse_config(damaged);
+        auto const* const result = std::get_if<config>(&parsed);
+        refused += result == nullptr ? 1 : 0;
+        CHECK((result == nullptr || validate(*result).empty()));
+    }
+    CHECK(refused > 1000);
+    std::string const deep(100'000, '[');
+    CHECK(std::holds_alternative<config_errors>(parse_config(deep)));
+}
