--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -43,6 +43,8 @@
     time_point m_shed_until{};
     double m_hinted_others = 0.0; ///< requests of other VMs
     time_point m_hint_until{};
+    /// Attempts that were shed and not released; they tell no service time.
+    std::uint32_t m_shed_attempts = 0;
     bool m_listed = true;
 
     [[nodiscard]] std::uint32_t limit(time_point now, double weight) const
@@ -83,6 +85,13 @@
     time_point m_deadline{};
 };
 
+void update_service_time(service_queue& service, duration service_time)
+{
+    double const seconds = std::chrono::duration<double>(service_time).count();
+    double const mean = service.m_service_time_s.value_or(seconds);
+    service.m_service_time_s = mean + service_time_gain * (seconds - mean);
+}
+
 bool is_excluded(queued_request const& request, upstream_id const& id)
 {
     return std::ranges::find(request.m_exclude, id) != request.m_exclude.end();
@@ -408,6 +417,7 @@
         return;
     }
     upstream_slots& slots = found->second;
+    ++slots.m_shed_attempts;
     slots.m_shed_until = now + shed_memory;
     slots.m_limit_after_shed =
         std::max<std::uint32_t>(1, slots.m_upstream.m_slots / 2);
--- a/src/health.cpp
+++ b/src/health.cpp
@@ -28,7 +28,7 @@
 constexpr double ejection_jitter = 0.2;
 
 /// Interval of probes to an upstream whose ejection time is over.
-constexpr std::chrono::seconds probe_interval{2};
+constexpr std::chrono::seconds return_probe_interval{2};
 
 constexpr std::chrono::seconds slow_start_time{10};
 constexpr double least_weight = 0.1;
@@ -1055,7 +1055,7 @@
         self.return_to_service(now, *record);
         return;
     }
-    record->m_next_probe = now + probe_interval;
+    record->m_next_probe = now + return_probe_interval;
 }
 
 std::vector<health_change> health_monitor::tick(time_point now)
@@ -1083,7 +1083,7 @@
         if (record.m_status == upstream_status::probing &&
             !record.is_draining() && now >= record.m_next_probe)
         {
-            record.m_next_probe = now + probe_interval;
+            record.m_next_probe = now + return_probe_interval;
             result.push_back(id);
         }
     }
