--- a/src/caller_key.hpp
+++ b/src/caller_key.hpp
@@ -32,11 +32,17 @@
     [[nodiscard]] key_config const* find(std::string_view caller_key) const;
     [[nodiscard]] bool is_current(std::string const& key_id) const;
 
+    /// The key with this id, digest and account is still in force.
+    [[nodiscard]] bool is_current(key_config const& key) const;
+
 private:
     std::unordered_map<std::string, key_config> m_by_digest;
     std::unordered_map<std::string, std::string> m_digest_by_id;
 };
 
+/// The text holds a caller's key. Short keys are compared as whole values.
+bool holds_key(std::string_view text, std::string_view caller_key);
+
 /// The key of a request, from `Authorization: Bearer <key>` or
 /// `X-Api-Key: <key>`. More than one place or value is `duplicate_header`.
 std::variant<std::string, result_code>
--- a/src/http_guard.hpp
+++ b/src/http_guard.hpp
@@ -9,7 +9,10 @@
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
+#include <string>
 #include <string_view>
 
 namespace briarhub
@@ -17,6 +20,17 @@
 
 inline constexpr std::uint32_t max_head_bytes = 16 * 1024;
 inline constexpr std::uint64_t max_body_bytes = 1024 * 1024;
+inline constexpr std::size_t max_head_fields = 128;
+
+/// Length of the head at the start of `input` including its empty line, zero
+/// while it is incomplete. A head that is certainly bad is reported at once,
+/// so that a caller that uses bare LF does not run into the time limit.
+struct head_scan
+{
+    std::size_t m_length = 0;
+    result_code m_code = result_code::ok;
+};
+head_scan scan_head(std::string_view input);
 
 /// Checks the raw bytes of a head up to and including the empty line: bare
 /// LF, obsolete line folding, NUL and control characters, space before a
@@ -28,6 +42,9 @@
 /// form of the target, HTTP version, `Host`.
 result_code check_head(boost::beast::http::request_header<> const& head);
 
+/// Text with its percent escapes resolved; nullopt for an invalid escape.
+std::optional<std::string> percent_decode(std::string_view text);
+
 } // namespace briarhub
 
 #endif
--- /dev/null
+++ b/src/routing.cpp
@@ -0,0 +1,95 @@
+#include "routing.hpp"
+
+#include "http_guard.hpp"
+
+namespace briarhub
+{
+namespace
+{
+
+/// "/a/" and "/a" declare the same prefix.
+std::string normalize_prefix(std::string prefix)
+{
+    while (prefix.ends_with('/'))
+    {
+        prefix.pop_back();
+    }
+    return prefix;
+}
+
+} // namespace
+
+void route_table::assign(config const& configuration)
+{
+    m_by_method.clear();
+    m_places.clear();
+    for (auto const& [name, work_class] : configuration.m_work_classes)
+    {
+        put(work_class);
+    }
+}
+
+void route_table::put(work_class_config const& work_class)
+{
+    remove(work_class.m_name);
+    std::string const prefix = normalize_prefix(work_class.m_path_prefix);
+    m_by_method[work_class.m_method][prefix] = work_class;
+    m_places[work_class.m_name] = {work_class.m_method, prefix};
+}
+
+void route_table::remove(work_class_name const& name)
+{
+    auto const place = m_places.find(name);
+    if (place == m_places.end())
+    {
+        return;
+    }
+    auto const& [method, prefix] = place->second;
+    auto& by_path = m_by_method[method];
+    auto const entry = by_path.find(prefix);
+    // The place may meanwhile belong to a class that was put later.
+    if (entry != by_path.end() && entry->second.m_name == name)
+    {
+        by_path.erase(entry);
+    }
+    m_places.erase(place);
+}
+
+work_class_config const*
+route_table::find(std::string_view method, std::string_view target) const
+{
+    auto const by_path = m_by_method.find(method);
+    if (by_path == m_by_method.end())
+    {
+        return nullptr;
+    }
+    // Matched as the upstream will read it, so that an escaped letter cannot
+    // lead to another class of work.
+    auto const path = percent_decode(target.substr(0, target.find('?')));
+    if (!path)
+    {
+        return nullptr;
+    }
+    std::string_view prefix{*path};
+    for (;;)
+    {
+        auto const found = by_path->second.find(prefix);
+        if (found != by_path->second.end())
+        {
+            return &found->second;
+        }
+        auto const slash = prefix.rfind('/');
+        if (slash == std::string_view::npos)
+        {
+            return nullptr;
+        }
+        prefix = prefix.substr(0, slash);
+    }
+}
+
+std::size_t route_table::size() const
+{
+    return m_places.size();
+}
+
+} // namespace briarhub
