--- /dev/null
+++ b/src/answer.cpp
@@ -0,0 +1,200 @@
+#include "answer.hpp"
+
+#include "result_code.hpp"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <iterator>
+#include <string>
+#include <string_view>
+
+namespace briarhub
+{
+namespace
+{
+
+namespace http = boost::beast::http;
+using boost::beast::iequals;
+
+constexpr unsigned http_1_1 = 11;
+
+constexpr auto internal_prefixes =
+    std::to_array<std::string_view>({"Upstream-", "Briarhub-"});
+
+constexpr auto connection_fields = std::to_array<std::string_view>(
+    {"Connection",
+     "Proxy-Connection",
+     "Keep-Alive",
+     "Transfer-Encoding",
+     "Trailer",
+     "Upgrade",
+     "Proxy-Authenticate",
+     "Content-Length"});
+
+std::string_view to_view(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+bool is_internal(std::string_view name)
+{
+    bool const has_prefix = std::ranges::any_of(
+        internal_prefixes,
+        [&](std::string_view prefix)
+        {
+            return iequals(name.substr(0, prefix.size()), prefix);
+        });
+    return has_prefix || std::ranges::any_of(
+                             connection_fields,
+                             [&](std::string_view field)
+                             {
+                                 return iequals(name, field);
+                             });
+}
+
+std::vector<std::string> connection_names(http::fields const& fields)
+{
+    std::vector<std::string> names;
+    auto const [first, last] = fields.equal_range(http::field::connection);
+    for (auto field = first; field != last; ++field)
+    {
+        for (auto const& token : http::token_list{field->value()})
+        {
+            names.emplace_back(to_view(token));
+        }
+    }
+    return names;
+}
+
+void set_result(http::fields& fields, result_code code)
+{
+    fields.set(result_field, std::to_string(static_cast<unsigned>(code)));
+}
+
+/// Whole seconds, at least one: callers that retry at once would only be
+/// refused again.
+std::string format_retry_after(duration wait)
+{
+    auto const seconds = std::chrono::ceil<std::chrono::seconds>(wait);
+    return std::to_string(std::max(seconds, std::chrono::seconds{1}).count());
+}
+
+} // namespace
+
+caller_response make_refusal(refusal const& reason)
+{
+    auto const& info = describe(reason.m_code);
+    caller_response response;
+    response.version(http_1_1);
+    response.result(info.m_http_status);
+    response.set(http::field::content_type, "application/json");
+    set_result(response, reason.m_code);
+    if (reason.m_retry_after)
+    {
+        response.set(
+            http::field::retry_after,
+            format_retry_after(*reason.m_retry_after));
+    }
+    response.body() = boost::json::serialize(boost::json::object{
+        {"code", static_cast<unsigned>(reason.m_code)},
+        {"reason", info.m_text},
+        {"run", to_string(info.m_run)}});
+    response.prepare_payload();
+    return response;
+}
+
+void remove_internal_fields(http::fields& fields)
+{
+    auto const hop_by_hop = connection_names(fields);
+    for (auto field = fields.begin(); field != fields.end();)
+    {
+        auto const name = to_view(field->name_string());
+        bool const is_removed =
+            is_internal(name) || std::ranges::any_of(
+                                     hop_by_hop,
+                                     [&](std::string const& listed)
+                                     {
+                                         return iequals(name, listed);
+                                     });
+        field = is_removed ? fields.erase(field) : std::next(field);
+    }
+}
+
+caller_response make_answer(upstream_attempt&& attempt)
+{
+    caller_response response;
+    response.base() = std::move(attempt.m_head);
+    remove_internal_fields(response);
+    response.version(http_1_1);
+    set_result(response, result_code::ok);
+    response.body() = std::move(attempt.m_body);
+    response.prepare_payload();
+    return response;
+}
+
+http::response_header<>
+make_stream_head(http::response_header<> const& head, std::uint64_t length)
+{
+    http::response_header<> answer = head;
+    remove_internal_fields(answer);
+    answer.version(http_1_1);
+    set_result(answer, result_code::ok);
+    answer.set(http::field::content_length, std::to_string(length));
+    return answer;
+}
+
+claim_outcome make_outcome(
+    claim_name name, claim_author author, caller_response const& answer)
+{
+    claim_outcome outcome;
+    outcome.m_name = std::move(name);
+    outcome.m_author = std::move(author);
+    outcome.m_known = true;
+    outcome.m_http_status = answer.result_int();
+    for (auto const& field : answer)
+    {
+        auto const field_name = to_view(field.name_string());
+        if (!is_internal(field_name))
+        {
+            outcome.m_headers.emplace_back(field_name, to_view(field.value()));
+        }
+    }
+    outcome.m_body_length = answer.body().size();
+    outcome.m_body_stored = answer.body().size() <= max_stored_body_bytes;
+    if (outcome.m_body_stored)
+    {
+        outcome.m_body = answer.body();
+    }
+    return outcome;
+}
+
+request_result make_stored_answer(claim_outcome const& outcome)
+{
+    if (!outcome.m_known)
+    {
+        return refusal{result_code::claim_in_doubt, {}};
+    }
+    if (!outcome.m_body_stored)
+    {
+        return refusal{result_code::outcome_not_stored, {}};
+    }
+    caller_response response;
+    response.version(http_1_1);
+    response.result(outcome.m_http_status);
+    for (auto const& [name, value] : outcome.m_headers)
+    {
+        response.insert(name, value);
+    }
+    set_result(response, result_code::ok);
+    response.body() = outcome.m_body;
+    response.prepare_payload();
+    return full_answer{std::move(response)};
+}
+
+} // namespace briarhub
--- /dev/null
+++ b/src/filter_chain.cpp
@@ -0,0 +1,328 @@
+#include "filter_chain.hpp"
+
+#include "answer.hpp"
+#include "caller_key.hpp"
+#include "claim_key.hpp"
+#include "http_guard.hpp"
+
+#include <algorithm>
+#include <array>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace briarhub
+{
+namespace
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+/// Time that the control thread gets to report a decision at its deadline.
+constexpr std::chrono::milliseconds decision_margin{100};
+
+constexpr std::array<filter, 4> filters_on_head{
+    readiness_filter{}, key_filter{}, route_filter{}, account_filter{}};
+
+constexpr std::array<filter, 6> filters_on_request{
+    readiness_filter{},
+    key_secrecy_filter{},
+    idempotency_filter{},
+    suspect_filter{},
+    admission_filter{},
+    claim_filter{}};
+
+filter_result refuse(result_code code)
+{
+    if (code == result_code::ok)
+    {
+        return std::nullopt;
+    }
+    return request_result{refusal{code, std::nullopt}};
+}
+
+std::string_view to_view(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+/// Digest of parts; each is preceded by its length, so that different parts
+/// cannot yield the same text.
+std::string digest_parts(std::initializer_list<std::string_view> parts)
+{
+    std::string text;
+    for (auto const part : parts)
+    {
+        text += std::to_string(part.size());
+        text += ':';
+        text += part;
+    }
+    return sha256_hex(text);
+}
+
+asio::awaitable<filter_result>
+run_filter(readiness_filter, traffic_state& state, request_context&)
+{
+    co_return refuse(state.readiness(runtime_clock::now()));
+}
+
+asio::awaitable<filter_result>
+run_filter(key_filter, traffic_state& state, request_context& context)
+{
+    auto extracted = extract_caller_key(context.m_head);
+    if (auto const* code = std::get_if<result_code>(&extracted))
+    {
+        co_return refuse(*code);
+    }
+    context.m_caller_key = std::move(std::get<std::string>(extracted));
+    auto const* key = state.m_keys.find(context.m_caller_key);
+    if (key == nullptr)
+    {
+        co_return refuse(result_code::unknown_key);
+    }
+    context.m_key = *key;
+    co_return std::nullopt;
+}
+
+asio::awaitable<filter_result>
+run_filter(route_filter, traffic_state& state, request_context& context)
+{
+    auto const target = to_view(context.m_head.target());
+    auto const* work_class =
+        state.m_routes.find(to_view(context.m_head.method_string()), target);
+    if (work_class == nullptr)
+    {
+        co_return refuse(result_code::unknown_route);
+    }
+    context.m_work_class = *work_class;
+    context.m_target = std::string{target};
+    remove_credentials(context.m_head, context.m_target, context.m_caller_key);
+    co_return std::nullopt;
+}
+
+asio::awaitable<filter_result>
+run_filter(account_filter, traffic_state&, request_context& context)
+{
+    auto const& allowed = context.m_work_class.m_accounts;
+    bool const is_allowed =
+        allowed.empty() ||
+        std::ranges::find(allowed, context.m_key.m_account) != allowed.end();
+    co_return refuse(
+        is_allowed ? result_code::ok : result_code::route_not_allowed);
+}
+
+asio::awaitable<filter_result>
+run_filter(key_secrecy_filter, traffic_state&, request_context& context)
+{
+    auto const decoded = percent_decode(context.m_target);
+    bool const is_exposed =
+        holds_key(context.m_body, context.m_caller_key) ||
+        holds_key(context.m_target, context.m_caller_key) ||
+        (decoded && holds_key(*decoded, context.m_caller_key));
+    co_return refuse(
+        is_exposed ? result_code::malformed_request : result_code::ok);
+}
+
+asio::awaitable<filter_result>
+run_filter(idempotency_filter, traffic_state& state, request_context& context)
+{
+    if (context.m_work_class.m_idempotent)
+    {
+        co_return std::nullopt;
+    }
+    auto const key = to_view(context.m_head["Idempotency-Key"]);
+    if (key.empty())
+    {
+        co_return refuse(result_code::idempotency_key_missing);
+    }
+    if (!state.m_claims.m_available)
+    {
+        co_return refuse(result_code::claims_unavailable);
+    }
+    context.m_idempotency_key = std::string{key};
+    // Two spellings of one key must not be two claims.
+    std::ranges::transform(
+        context.m_idempotency_key,
+        context.m_idempotency_key.begin(),
+        [](char c)
+        {
+            return c >= 'A' && c <= 'F' ? static_cast<char>(c - 'A' + 'a') : c;
+        });
+    co_return refuse(check_idempotency_key(
+        context.m_idempotency_key, wall_now(), state.m_claims.m_since));
+}
+
+asio::awaitable<filter_result>
+run_filter(suspect_filter, traffic_state& state, request_context& context)
+{
+    auto const method = to_view(context.m_head.method_string());
+    context.m_request_digest =
+        digest_parts({method, context.m_target, context.m_body});
+    context.m_suspect_digest = digest_parts(
+        {context.m_key.m_account, method, context.m_target, context.m_body});
+    bool const is_refused = state.m_suspects.is_refused(
+        runtime_clock::now(), context.m_suspect_digest);
+    co_return refuse(
+        is_refused ? result_code::suspect_request_refused : result_code::ok);
+}
+
+/// Waits until a loan message arrives or `until`; ends at once if the caller
+/// disconnects.
+asio::awaitable<void> wait_for_tokens(
+    traffic_state& state, request_context const& context, time_point until)
+{
+    pending_value<bool> wait{state.m_io.get_executor()};
+    registered_wait<request_ticket, bool> const registration{
+        state.m_admission_waits, context.m_ticket, wait};
+    gone_handler const on_gone{
+        *context.m_caller,
+        [&wait]
+        {
+            wait.interrupt();
+        }};
+    co_await wait.wait_until(until);
+}
+
+/// A request that waited is admitted only if the VM is still ready and the
+/// key still in force.
+result_code
+check_after_wait(traffic_state& state, request_context const& context)
+{
+    auto const code = state.readiness(runtime_clock::now());
+    return code == result_code::ok ? state.check_sendable(context) : code;
+}
+
+asio::awaitable<filter_result>
+run_filter(admission_filter, traffic_state& state, request_context& context)
+{
+    auto const start = runtime_clock::now();
+    std::optional<time_point> waited_since;
+    for (;;)
+    {
+        auto const now = runtime_clock::now();
+        auto const result =
+            state.m_rates.try_admit(now, context.m_key.m_account, waited_since);
+        state.poll_rates();
+        if (result.m_kind == admission_kind::admitted)
+        {
+            co_return std::nullopt;
+        }
+        if (result.m_kind == admission_kind::refused)
+        {
+            co_return request_result{
+                refusal{result_code::over_rate, result.m_retry_after}};
+        }
+        waited_since = start;
+        auto const until = std::min(result.m_retry_at, context.m_deadline);
+        co_await wait_for_tokens(state, context, until);
+        if (context.m_caller->is_gone())
+        {
+            co_return request_result{broken_answer{}};
+        }
+        auto const code = check_after_wait(state, context);
+        if (code != result_code::ok)
+        {
+            co_return refuse(code);
+        }
+    }
+}
+
+claim_name name_of(request_context const& context)
+{
+    return {context.m_key.m_account, context.m_idempotency_key};
+}
+
+/// The verdict, or nothing if the wait ended without one.
+asio::awaitable<std::optional<claim_verdict>>
+wait_for_verdict(traffic_state& state, request_context const& context)
+{
+    pending_value<claim_verdict> wait{state.m_io.get_executor()};
+    registered_wait<request_ticket, claim_verdict> const registration{
+        state.m_claim_waits, context.m_ticket, wait};
+    gone_handler const on_gone{
+        *context.m_caller,
+        [&wait]
+        {
+            wait.interrupt();
+        }};
+    claim_request request{
+        context.m_ticket,
+        name_of(context),
+        context.m_request_digest,
+        context.m_deadline};
+    if (!state.send(std::move(request)))
+    {
+        co_return claim_refused{result_code::claims_unavailable};
+    }
+    co_await wait.wait_until(context.m_deadline + decision_margin);
+    if (!wait.value())
+    {
+        state.give_up_claim(context.m_ticket, name_of(context));
+    }
+    co_return std::move(wait.value());
+}
+
+asio::awaitable<filter_result>
+run_filter(claim_filter, traffic_state& state, request_context& context)
+{
+    if (context.m_work_class.m_idempotent)
+    {
+        co_return std::nullopt;
+    }
+    auto const verdict = co_await wait_for_verdict(state, context);
+    if (!verdict)
+    {
+        if (context.m_caller->is_gone())
+        {
+            co_return request_result{broken_answer{}};
+        }
+        // Another VM may hold the claim and run the request.
+        co_return refuse(result_code::claim_in_doubt);
+    }
+    if (auto const* refused = std::get_if<claim_refused>(&*verdict))
+    {
+        co_return refuse(refused->m_code);
+    }
+    if (auto const* finished = std::get_if<claim_finished>(&*verdict))
+    {
+        co_return make_stored_answer(finished->m_outcome);
+    }
+    context.m_claim = std::get<claim_won>(*verdict).m_author;
+    co_return std::nullopt;
+}
+
+} // namespace
+
+std::span<filter const> head_filters()
+{
+    return filters_on_head;
+}
+
+std::span<filter const> request_filters()
+{
+    return filters_on_request;
+}
+
+asio::awaitable<filter_result> run_filters(
+    std::span<filter const> filters,
+    traffic_state& state,
+    request_context& context)
+{
+    for (auto const& entry : filters)
+    {
+        auto result = co_await std::visit(
+            [&](auto specific)
+            {
+                return run_filter(specific, state, context);
+            },
+            entry);
+        if (result)
+        {
+            co_return std::move(result);
+        }
+    }
+    co_return std::nullopt;
+}
+
+} // namespace briarhub
--- /dev/null
+++ b/src/pending_value.hpp
@@ -0,0 +1,98 @@
+#ifndef BRIARHUB_PENDING_VALUE_HPP
+#define BRIARHUB_PENDING_VALUE_HPP
+
+/// A value that one coroutine waits for and another part of the thread sets.
+
+#include "clock.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+namespace briarhub
+{
+
+/// One waiter, on one thread. The first value that is set is kept.
+template <class Value>
+class pending_value
+{
+public:
+    explicit pending_value(boost::asio::any_io_executor const& executor)
+        : m_timer(executor)
+    {
+    }
+
+    void set(Value value)
+    {
+        if (!m_value)
+        {
+            m_value = std::move(value);
+        }
+        m_timer.cancel();
+    }
+
+    /// Ends the wait without a value.
+    void interrupt()
+    {
+        m_is_interrupted = true;
+        m_timer.cancel();
+    }
+
+    /// Completes when a value is set, the wait is interrupted or the deadline
+    /// passes.
+    boost::asio::awaitable<void> wait_until(time_point deadline)
+    {
+        if (m_value || m_is_interrupted)
+        {
+            co_return;
+        }
+        m_timer.expires_at(deadline);
+        co_await m_timer.async_wait(
+            boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
+
+    std::optional<Value>& value()
+    {
+        return m_value;
+    }
+
+private:
+    timer m_timer;
+    std::optional<Value> m_value;
+    bool m_is_interrupted = false;
+};
+
+/// Enters a waiter in a map for as long as the waiting scope lives.
+template <class Key, class Value>
+class registered_wait
+{
+public:
+    using map = std::unordered_map<Key, pending_value<Value>*>;
+
+    registered_wait(map& waits, Key key, pending_value<Value>& wait)
+        : m_waits(waits), m_key(std::move(key))
+    {
+        m_waits[m_key] = &wait;
+    }
+
+    ~registered_wait()
+    {
+        m_waits.erase(m_key);
+    }
+
+    registered_wait(registered_wait const&) = delete;
+    registered_wait& operator=(registered_wait const&) = delete;
+
+private:
+    map& m_waits;
+    Key m_key;
+};
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/request.hpp
@@ -0,0 +1,132 @@
+#ifndef BRIARHUB_REQUEST_HPP
+#define BRIARHUB_REQUEST_HPP
+
+/// What the filters, the attempts and the session know about one request.
+
+#include "claim_table.hpp"
+#include "config.hpp"
+#include "result_code.hpp"
+#include "types.hpp"
+
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace briarhub
+{
+
+/// Whether the caller is still connected.
+class caller_presence
+{
+public:
+    [[nodiscard]] bool is_gone() const
+    {
+        return m_is_gone;
+    }
+
+    /// The caller disconnected; runs the handler that is set.
+    void leave()
+    {
+        m_is_gone = true;
+        if (m_on_gone)
+        {
+            std::exchange(m_on_gone, nullptr)();
+        }
+    }
+
+    void set_handler(std::function<void()> on_gone)
+    {
+        m_on_gone = std::move(on_gone);
+    }
+
+private:
+    bool m_is_gone = false;
+    std::function<void()> m_on_gone;
+};
+
+/// Runs a handler if the caller disconnects while the scope lives.
+class gone_handler
+{
+public:
+    gone_handler(caller_presence& caller, std::function<void()> on_gone)
+        : m_caller(caller)
+    {
+        m_caller.set_handler(std::move(on_gone));
+    }
+
+    ~gone_handler()
+    {
+        m_caller.set_handler(nullptr);
+    }
+
+    gone_handler(gone_handler const&) = delete;
+    gone_handler& operator=(gone_handler const&) = delete;
+
+private:
+    caller_presence& m_caller;
+};
+
+struct request_context
+{
+    request_ticket m_ticket = 0;
+    std::string m_request_id; ///< unique in the fleet
+    boost::beast::http::request_header<> m_head;
+    std::string m_body;
+    time_point m_received{}; ///< when the request was complete
+    caller_presence* m_caller = nullptr;
+
+    // Set by the filters; copies, since the configuration may change.
+    std::string m_caller_key;
+    key_config m_key;
+    work_class_config m_work_class;
+    time_point m_deadline{};
+    /// Target without credentials, as it goes to the upstream.
+    std::string m_target;
+    /// SHA-256 of method, target and body.
+    std::string m_request_digest;
+    /// SHA-256 of account, method, target and body.
+    std::string m_suspect_digest;
+    std::string m_idempotency_key;
+    /// The claim that this VM won; it needs an outcome or a release.
+    std::optional<claim_author> m_claim;
+
+    /// Time that attempts at upstreams took.
+    duration m_upstream_time{};
+};
+
+/// A refusal with its code; the code says whether the request may have run.
+struct refusal
+{
+    result_code m_code = result_code::internal_error;
+    std::optional<duration> m_retry_after;
+};
+
+/// A complete answer for the caller.
+struct full_answer
+{
+    boost::beast::http::response<boost::beast::http::string_body> m_response;
+};
+
+/// The whole answer was streamed to the caller.
+struct streamed_answer
+{
+};
+
+/// The caller is gone or its streamed answer cannot be completed: its
+/// connection has to be closed.
+struct broken_answer
+{
+};
+
+using request_result =
+    std::variant<full_answer, refusal, streamed_answer, broken_answer>;
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/traffic_state.hpp
@@ -0,0 +1,210 @@
+#ifndef BRIARHUB_TRAFFIC_STATE_HPP
+#define BRIARHUB_TRAFFIC_STATE_HPP
+
+/// State of the traffic thread that its sessions share: decision modules,
+/// waiting requests, upstream connections, counters.
+
+#include "admin_messages.hpp"
+#include "caller_key.hpp"
+#include "dispatcher.hpp"
+#include "health.hpp"
+#include "mailbox.hpp"
+#include "metrics.hpp"
+#include "pending_value.hpp"
+#include "rate_share.hpp"
+#include "request.hpp"
+#include "retry_budget.hpp"
+#include "routing.hpp"
+#include "settings.hpp"
+#include "suspect_requests.hpp"
+#include "thread_messages.hpp"
+#include "upstream_client.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+
+namespace briarhub
+{
+
+/// The upstream that a queued request was given to, or why it is refused.
+using upstream_grant = std::variant<upstream, result_code>;
+
+/// An attempt that is running at an upstream.
+struct running_attempt
+{
+    service_name m_service;
+    upstream_id m_upstream;
+    time_point m_deadline{};
+    key_config m_key;
+    bool m_is_archive = false;
+    /// Upstreams that the request was given to.
+    std::vector<upstream_id> m_tried;
+    /// Cancelled because it was slow; its retry is already paid for.
+    bool m_is_cancelled_slow = false;
+    /// Cancelled because the key was withdrawn.
+    bool m_is_cancelled_key = false;
+    /// Closes the caller's connection of a download.
+    std::function<void()> m_abort_caller;
+};
+
+/// Counters of one work class.
+struct class_metrics
+{
+    counter* m_requests = nullptr;
+    latency_summary* m_total = nullptr;
+};
+
+/// Runs on the traffic thread only. Sessions share its ownership, since
+/// their coroutines may outlive the `traffic` object.
+class traffic_state : public std::enable_shared_from_this<traffic_state>
+{
+public:
+    traffic_state(
+        boost::asio::io_context& io,
+        settings const& options,
+        member const& self,
+        metrics_registry& metrics,
+        mailbox<control_message>& to_control);
+
+    void receive(config_update&& message);
+    void receive(upstreams_update&& message);
+    void receive(members_update&& message);
+    void receive(stable_update&& message);
+    void receive(freshness_update&& message);
+    void receive(claims_covered&& message);
+    void receive(claim_decision&& message);
+    void receive(addressed_loan_message&& message);
+    void receive(peer_evidence&& message);
+    void receive(peer_suspects&& message);
+    void receive(stop_traffic&& message);
+
+    /// Work that is due every `health_interval`.
+    void tick();
+
+    /// `ok`, or why no request may be admitted or sent now.
+    [[nodiscard]] result_code readiness(time_point now) const;
+
+    /// `ok`, or why this request must not be sent now.
+    [[nodiscard]] result_code check_sendable(request_context const& context);
+
+    request_ticket next_ticket();
+
+    /// Gives queued requests to free upstreams and arms the next poll.
+    void poll_dispatcher();
+
+    /// Sends due loan messages and arms the next poll.
+    void poll_rates();
+
+    /// Sends a message; false if the ring is full.
+    bool send(control_message&& message);
+
+    /// Sends a claim's outcome or release, later if the ring is full.
+    void send_claim_result(control_message&& message);
+
+    /// Nobody waits for the decision about a claim any more.
+    void give_up_claim(request_ticket ticket, claim_name name);
+
+    /// Another upstream of the service is usable.
+    [[nodiscard]] bool has_alternative(
+        service_name const& service,
+        std::vector<upstream_id> const& tried) const;
+
+    /// The slow limit of an attempt passed: cancels it if another upstream can
+    /// take the request within budget and deadline.
+    void handle_slow(request_ticket attempt);
+
+    void count_refusal(result_code code, work_class_name const& work_class);
+    void count_retry(std::string_view reason);
+    class_metrics& metrics_of(work_class_name const& work_class);
+
+    /// A request runs from its admission until its answer is written.
+    void request_started();
+    void request_ended();
+
+    /// Ends timers and connections.
+    void shut_down();
+
+    [[nodiscard]] admin_reply answer(admin_topic topic) const;
+
+    boost::asio::io_context& m_io;
+    settings const m_options;
+    member const m_self;
+    metrics_registry& m_metrics;
+    mailbox<control_message>& m_to_control;
+
+    config m_config;
+    key_index m_keys;
+    route_table m_routes;
+    rate_share m_rates;
+    health_monitor m_health;
+    dispatcher m_dispatcher;
+    retry_budget m_retries;
+    suspect_requests m_suspects;
+    upstream_client m_client;
+
+    std::unordered_map<request_ticket, pending_value<upstream_grant>*>
+        m_dispatch_waits;
+    std::unordered_map<request_ticket, pending_value<claim_verdict>*>
+        m_claim_waits;
+    std::unordered_map<request_ticket, pending_value<bool>*> m_admission_waits;
+    std::unordered_map<request_ticket, running_attempt> m_attempts;
+
+    /// Claims that nobody waits for any more; a late win is released.
+    std::unordered_map<request_ticket, claim_name> m_given_up_claims;
+
+    claims_covered m_claims;
+    latency_summary& m_added;
+
+    /// Called when stopping begins and when the last request has ended.
+    std::function<void()> m_on_stopping;
+    std::function<void()> m_on_stopped;
+
+private:
+    void apply_operation(time_point now, config_operation const& operation);
+    void apply(time_point now, put_service const& operation);
+    void apply(time_point now, remove_service const& operation);
+    void apply(time_point now, put_work_class const& operation);
+    void apply(time_point now, remove_work_class const& operation);
+    void apply(time_point now, put_account const& operation);
+    void apply(time_point now, remove_account const& operation);
+    void apply(time_point now, put_key const& operation);
+    void apply(time_point now, withdraw_key const& operation);
+    void apply(time_point now, put_detection const& operation);
+    void apply_whole(time_point now, config&& whole);
+    void abort_withdrawn_downloads();
+    void tick_health(time_point now);
+    void send_reports(time_point now);
+    void start_probe(upstream const& target);
+    void flush_claim_results();
+    void finish_stop();
+    void arm(timer& alarm, time_point when, void (traffic_state::*action)());
+
+    std::map<upstream_id, upstream> m_upstreams;
+    std::unordered_map<work_class_name, class_metrics> m_class_metrics;
+    std::deque<control_message> m_unsent_claim_results;
+    timer m_dispatch_timer;
+    timer m_rate_timer;
+    time_point m_valid_until{};
+    time_point m_next_report{};
+    request_ticket m_last_ticket = 0;
+    std::size_t m_running = 0;
+    bool m_has_config = false;
+    bool m_is_stopping = false;
+    bool m_is_stopped = false;
+    bool m_is_shut_down = false;
+};
+
+/// Interval of `traffic_state::tick`.
+inline constexpr std::chrono::milliseconds health_interval{100};
+
+} // namespace briarhub
+
+#endif
