--- /dev/null
+++ b/src/archive_stream.cpp
@@ -0,0 +1,321 @@
+#include "archive_stream.hpp"
+
+#include "answer.hpp"
+#include "attempts.hpp"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace briarhub
+{
+namespace
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+/// An upstream that sends nothing for this long during a download is left.
+constexpr std::chrono::seconds min_stall_limit{2};
+
+/// Interval at which a download is checked for a stall.
+constexpr std::chrono::milliseconds stall_check_interval{250};
+
+/// Progress of one attempt, shared with the timer that watches it.
+struct stream_progress
+{
+    explicit stream_progress(asio::io_context& io) : m_timer(io)
+    {
+    }
+
+    timer m_timer;
+    time_point m_last{};
+    /// The caller is taking data; the upstream has to wait for it.
+    bool m_is_caller_busy = false;
+    bool m_has_head = false;
+    bool m_is_stalled = false;
+};
+
+/// Cancels an attempt whose upstream sends nothing any more. Time during
+/// which the caller takes data does not count.
+void watch_stall(
+    std::shared_ptr<stream_progress> progress,
+    std::weak_ptr<traffic_state> weak,
+    request_ticket ticket,
+    duration limit)
+{
+    auto& alarm = progress->m_timer;
+    alarm.expires_at(runtime_clock::now() + stall_check_interval);
+    alarm.async_wait(
+        [progress = std::move(progress), weak = std::move(weak), ticket, limit](
+            boost::system::error_code error) mutable
+        {
+            auto const state = weak.lock();
+            if (error || !state || !state->m_attempts.contains(ticket))
+            {
+                return;
+            }
+            auto const quiet = runtime_clock::now() - progress->m_last;
+            if (progress->m_has_head && !progress->m_is_caller_busy &&
+                quiet > limit)
+            {
+                progress->m_is_stalled = true;
+                state->m_client.cancel(ticket);
+                return;
+            }
+            watch_stall(std::move(progress), std::move(weak), ticket, limit);
+        });
+}
+
+/// One attempt of a download. The slow limit applies up to the head, since
+/// the rest depends on the caller's speed.
+class download_attempt
+{
+public:
+    download_attempt(
+        traffic_state& state,
+        request_context& context,
+        download_target const& caller,
+        upstream target,
+        attempt_history const& history)
+        : m_state(state), m_context(context), m_caller(caller),
+          m_target(std::move(target)),
+          m_scope(state, context, m_target, history),
+          m_progress(std::make_shared<stream_progress>(state.m_io))
+    {
+        m_scope.running().m_abort_caller = caller.m_abort;
+        m_scope.watch_slow_limit();
+        watch_stall(
+            m_progress,
+            state.weak_from_this(),
+            m_scope.ticket(),
+            stall_limit());
+    }
+
+    ~download_attempt()
+    {
+        m_progress->m_timer.cancel();
+    }
+
+    download_attempt(download_attempt const&) = delete;
+    download_attempt& operator=(download_attempt const&) = delete;
+
+    asio::awaitable<attempt_result> run(stream_position& position)
+    {
+        answer_sink sink;
+        sink.m_on_head =
+            [this](http::response_header<> const& head, std::uint64_t length)
+        {
+            return take_head(head, length);
+        };
+        sink.m_on_data = [this](std::string_view data)
+        {
+            return take_data(data);
+        };
+        result_code blocked = result_code::ok;
+        std::function<bool()> may_send = [&]
+        {
+            blocked = m_state.check_sendable(m_context);
+            return blocked == result_code::ok;
+        };
+        gone_handler const on_gone{
+            *m_context.m_caller,
+            [&state = m_state, ticket = m_scope.ticket()]
+            {
+                state.m_client.cancel(ticket);
+            }};
+        upstream_request request =
+            make_upstream_request(m_context, runtime_clock::now());
+        // The fleet resumes by ranges itself, so the caller gets the whole.
+        request.erase(http::field::range);
+        request.erase(http::field::if_range);
+        auto attempt = co_await m_state.m_client.run_streamed(
+            m_scope.ticket(),
+            m_target,
+            std::move(request),
+            m_context.m_deadline,
+            std::move(may_send),
+            position,
+            sink);
+        auto result = m_scope.finish(std::move(attempt), blocked);
+        report_late_failure(result);
+        co_return result;
+    }
+
+private:
+    duration stall_limit() const
+    {
+        auto const& work_class = m_context.m_work_class;
+        return std::max<duration>(
+            min_stall_limit,
+            m_state.m_health.slow_limit(
+                work_class.m_service,
+                work_class.m_name,
+                work_class.m_latency_target));
+    }
+
+    void note_head()
+    {
+        m_scope.end_slow_watch();
+        m_scope.report(attempt_outcome::good);
+        m_progress->m_has_head = true;
+        m_progress->m_last = runtime_clock::now();
+    }
+
+    asio::awaitable<bool>
+    take_head(http::response_header<> const& head, std::uint64_t length)
+    {
+        note_head();
+        m_progress->m_is_caller_busy = true;
+        http::response_header<> const answer = make_stream_head(head, length);
+        bool const taken = co_await m_caller.m_sink.m_on_head(answer, length);
+        m_progress->m_is_caller_busy = false;
+        m_progress->m_last = runtime_clock::now();
+        co_return taken;
+    }
+
+    asio::awaitable<bool> take_data(std::string_view data)
+    {
+        if (!m_progress->m_has_head)
+        {
+            note_head();
+        }
+        // A withdrawn key stops a download between two parts of it.
+        if (!m_state.m_keys.is_current(m_context.m_key))
+        {
+            m_scope.running().m_is_cancelled_key = true;
+            co_return false;
+        }
+        m_progress->m_is_caller_busy = true;
+        bool const taken = co_await m_caller.m_sink.m_on_data(data);
+        m_progress->m_is_caller_busy = false;
+        m_progress->m_last = runtime_clock::now();
+        co_return taken;
+    }
+
+    /// The evidence of the attempt was given at its head; what happened after
+    /// that counts as an attempt of its own.
+    void report_late_failure(attempt_result const& result)
+    {
+        auto outcome = result.m_attempt.m_outcome;
+        if (m_progress->m_is_stalled)
+        {
+            outcome = attempt_outcome::slow;
+        }
+        bool const is_failure = outcome == attempt_outcome::error ||
+                                outcome == attempt_outcome::wrong ||
+                                outcome == attempt_outcome::crashed ||
+                                outcome == attempt_outcome::slow;
+        bool const is_late = runtime_clock::now() >= m_context.m_deadline;
+        if (!m_progress->m_has_head || !is_failure || is_late)
+        {
+            return;
+        }
+        auto const now = runtime_clock::now();
+        auto const ticket = m_state.next_ticket();
+        auto const& work_class = m_context.m_work_class;
+        m_state.m_health.attempt_started(
+            now,
+            ticket,
+            m_target.m_id,
+            work_class.m_name,
+            work_class.m_latency_target);
+        m_state.m_health.attempt_finished(now, ticket, m_target.m_id, outcome);
+    }
+
+    traffic_state& m_state;
+    request_context& m_context;
+    download_target const& m_caller;
+    upstream const m_target;
+    attempt_scope m_scope;
+    std::shared_ptr<stream_progress> m_progress;
+};
+
+/// Ends a download. Once the head was sent a refusal can only be shown by
+/// closing the connection early.
+request_result end_broken(
+    traffic_state& state,
+    request_context const& context,
+    attempt_history const& history,
+    stream_position const& position,
+    result_code code)
+{
+    if (!position.m_head_sent)
+    {
+        return refusal{truthful_code(code, true, history.m_may_have_run), {}};
+    }
+    bool const is_withdrawn = !state.m_keys.is_current(context.m_key);
+    state.count_refusal(
+        is_withdrawn ? result_code::key_withdrawn
+                     : result_code::archive_incomplete,
+        context.m_work_class.m_name);
+    return broken_answer{};
+}
+
+asio::awaitable<attempt_result> run_download_attempt(
+    traffic_state& state,
+    request_context& context,
+    download_target const& caller,
+    upstream target,
+    attempt_history const& history,
+    stream_position& position)
+{
+    download_attempt attempt{
+        state, context, caller, std::move(target), history};
+    co_return co_await attempt.run(position);
+}
+
+} // namespace
+
+asio::awaitable<request_result> stream_archive(
+    traffic_state& state,
+    request_context& context,
+    download_target const& caller)
+{
+    attempt_history history;
+    stream_position position;
+    state.m_retries.request_started(
+        runtime_clock::now(), context.m_work_class.m_service);
+    for (;;)
+    {
+        upstream_grant grant =
+            co_await acquire_upstream(state, context, history);
+        if (context.m_caller->is_gone())
+        {
+            co_return broken_answer{};
+        }
+        if (auto const* code = std::get_if<result_code>(&grant))
+        {
+            co_return end_broken(state, context, history, position, *code);
+        }
+        upstream target = std::get<upstream>(std::move(grant));
+        history.m_tried.push_back(target.m_id);
+        attempt_result const result = co_await run_download_attempt(
+            state, context, caller, std::move(target), history, position);
+        if (result.m_is_cancelled_key)
+        {
+            co_return end_broken(
+                state, context, history, position, result_code::key_withdrawn);
+        }
+        if (context.m_caller->is_gone())
+        {
+            co_return broken_answer{};
+        }
+        auto const code = judge_attempt(state, context, history, result);
+        if (code == result_code::ok)
+        {
+            co_return streamed_answer{};
+        }
+        if (code || !is_resumable(position))
+        {
+            co_return end_broken(
+                state,
+                context,
+                history,
+                position,
+                code.value_or(result_code::archive_incomplete));
+        }
+    }
+}
+
+} // namespace briarhub
--- a/src/attempts.cpp
+++ b/src/attempts.cpp
@@ -205,18 +205,14 @@
         history.m_tried.push_back(target.m_id);
         auto result =
             co_await run_attempt(state, context, std::move(target), history);
-        auto const code = judge_attempt(state, context, history, result);
-        if (code == result_code::ok)
-        {
-            co_return full_answer{make_answer(std::move(result.m_attempt))};
-        }
-        if (context.m_caller->is_gone() && !history.m_may_have_run)
+        if (context.m_caller->is_gone() && is_idempotent)
         {
             co_return broken_answer{};
         }
-        if (context.m_caller->is_gone() && is_idempotent)
+        auto const code = judge_attempt(state, context, history, result);
+        if (code == result_code::ok)
         {
-            co_return broken_answer{};
+            co_return full_answer{make_answer(std::move(result.m_attempt))};
         }
         if (code)
         {
@@ -473,8 +469,8 @@
     return judge_failure(state, context, history, result);
 }
 
-result_code truthful_code(
-    result_code code, bool is_idempotent, bool may_have_run) noexcept
+result_code
+truthful_code(result_code code, bool is_idempotent, bool may_have_run) noexcept
 {
     bool const claims_not_run = describe(code).m_run == run_state::not_run;
     if (may_have_run && !is_idempotent)
--- a/src/attempts.hpp
+++ b/src/attempts.hpp
@@ -102,8 +102,8 @@
 
 /// The code that is true about the execution of the request: no "not run"
 /// after an attempt that may have run, and no doubt when nothing was sent.
-result_code truthful_code(
-    result_code code, bool is_idempotent, bool may_have_run) noexcept;
+result_code
+truthful_code(result_code code, bool is_idempotent, bool may_have_run) noexcept;
 
 /// Runs a request whose answer is held in memory; ends its claim.
 boost::asio::awaitable<request_result>
--- /dev/null
+++ b/src/caller_session.cpp
@@ -0,0 +1,571 @@
+#include "caller_session.hpp"
+
+#include "archive_stream.hpp"
+#include "attempts.hpp"
+#include "filter_chain.hpp"
+#include "http_guard.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+#include <array>
+#include <exception>
+#include <utility>
+
+namespace briarhub
+{
+namespace
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+
+constexpr std::size_t read_chunk_bytes = 16 * 1024;
+
+/// Input that is held while a request runs; more stays in the socket.
+constexpr std::size_t max_input_bytes = 64 * 1024;
+
+/// The write timeout applies to parts of this size, so that it bounds the
+/// speed of a caller and not the size of an answer.
+constexpr std::size_t write_chunk_bytes = 64 * 1024;
+
+/// After the last answer, unread input is discarded for this long. Closing
+/// at once would reset the connection and could destroy the answer.
+constexpr std::chrono::seconds linger_timeout{2};
+
+constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
+
+result_code parse_error_code(error_code const& error)
+{
+    if (error == http::error::body_limit)
+    {
+        return result_code::body_too_large;
+    }
+    if (error == http::error::header_limit)
+    {
+        return result_code::header_too_large;
+    }
+    if (error == http::error::bad_content_length ||
+        error == http::error::multiple_content_length ||
+        error == http::error::bad_transfer_encoding)
+    {
+        return result_code::ambiguous_length;
+    }
+    return result_code::malformed_request;
+}
+
+/// Counts a request as running while the scope lives.
+class running_scope
+{
+public:
+    explicit running_scope(traffic_state& state) : m_state(state)
+    {
+        m_state.request_started();
+    }
+
+    ~running_scope()
+    {
+        m_state.request_ended();
+    }
+
+    running_scope(running_scope const&) = delete;
+    running_scope& operator=(running_scope const&) = delete;
+
+private:
+    traffic_state& m_state;
+};
+
+std::string make_request_id(member const& self, request_ticket ticket)
+{
+    return fmt::format("{}-{:016x}-{}", self.m_vm, self.m_incarnation, ticket);
+}
+
+} // namespace
+
+caller_session::caller_session(
+    asio::ip::tcp::socket socket, std::shared_ptr<traffic_state> state)
+    : m_socket(std::move(socket)), m_state(std::move(state)),
+      m_input_timer(m_state->m_io), m_space_timer(m_state->m_io),
+      m_write_timer(m_state->m_io)
+{
+    error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
+}
+
+void caller_session::start()
+{
+    auto const start_coroutine =
+        [this](asio::awaitable<void> (caller_session::*coroutine)())
+    {
+        asio::co_spawn(
+            m_state->m_io,
+            [](std::shared_ptr<caller_session> self,
+               asio::awaitable<void> (
+                   caller_session::*body)()) -> asio::awaitable<void>
+            {
+                co_await (self.get()->*body)();
+            }(shared_from_this(), coroutine),
+            asio::detached);
+    };
+    start_coroutine(&caller_session::read_input);
+    start_coroutine(&caller_session::serve);
+}
+
+void caller_session::start_refusing(result_code code)
+{
+    asio::co_spawn(
+        m_state->m_io,
+        [](std::shared_ptr<caller_session> self,
+           result_code reason) -> asio::awaitable<void>
+        {
+            co_await self->refuse_and_close(reason);
+        }(shared_from_this(), code),
+        asio::detached);
+    m_is_discarding = true;
+    asio::co_spawn(
+        m_state->m_io,
+        [](std::shared_ptr<caller_session> self) -> asio::awaitable<void>
+        {
+            co_await self->read_input();
+        }(shared_from_this()),
+        asio::detached);
+}
+
+void caller_session::close_if_idle()
+{
+    if (m_is_idle && m_input.empty())
+    {
+        abort();
+    }
+}
+
+void caller_session::abort()
+{
+    error_code ignored;
+    m_socket.close(ignored);
+    m_input_timer.cancel();
+    m_space_timer.cancel();
+}
+
+/// Reads all input, at most `max_input_bytes` ahead of what is served.
+asio::awaitable<void> caller_session::read_input()
+{
+    std::array<char, read_chunk_bytes> chunk;
+    for (;;)
+    {
+        while (m_input.size() >= max_input_bytes && m_socket.is_open())
+        {
+            m_space_timer.expires_at(time_point::max());
+            co_await m_space_timer.async_wait(use_tuple);
+        }
+        auto [error, bytes] =
+            co_await m_socket.async_read_some(asio::buffer(chunk), use_tuple);
+        if (error)
+        {
+            m_caller.leave();
+            m_input_timer.cancel();
+            co_return;
+        }
+        if (!m_is_discarding)
+        {
+            m_input.append(chunk.data(), bytes);
+        }
+        m_input_timer.cancel();
+    }
+}
+
+asio::awaitable<void> caller_session::serve()
+{
+    try
+    {
+        while (co_await serve_request())
+        {
+        }
+        co_await close_gracefully();
+    }
+    catch (std::exception const& error)
+    {
+        m_state->count_refusal(result_code::internal_error, "");
+        spdlog::error("caller session ended: {}", error.what());
+        abort();
+    }
+}
+
+asio::awaitable<void> caller_session::refuse_and_close(result_code code)
+{
+    request_context const context;
+    refusal const reason{code, std::nullopt};
+    co_await write_refusal(context, reason, false);
+    co_await close_gracefully();
+}
+
+asio::awaitable<bool> caller_session::serve_request()
+{
+    if (!co_await wait_for_request())
+    {
+        co_return false;
+    }
+    m_request_deadline =
+        runtime_clock::now() + m_state->m_options.m_caller_timeout;
+    request_context context;
+    context.m_caller = &m_caller;
+    context.m_ticket = m_state->next_ticket();
+    context.m_request_id = make_request_id(m_state->m_self, context.m_ticket);
+    request_parser parser;
+    parser.header_limit(max_head_bytes);
+    parser.body_limit(max_body_bytes);
+    auto const refused = co_await read_head(parser);
+    if (refused && m_caller.is_gone())
+    {
+        co_return false;
+    }
+    if (refused)
+    {
+        co_return co_await write_refusal(context, *refused, false);
+    }
+    context.m_head = parser.get().base();
+    co_return co_await serve_with_head(parser, context);
+}
+
+/// Reads the rest of a request whose head is complete and runs it.
+asio::awaitable<bool> caller_session::serve_with_head(
+    request_parser& parser, request_context& context)
+{
+    auto const code = check_head(context.m_head);
+    if (code != result_code::ok)
+    {
+        refusal const reason{code, std::nullopt};
+        co_return co_await write_refusal(context, reason, false);
+    }
+    bool const keep_open = parser.get().keep_alive();
+    auto const refused =
+        co_await run_filters(head_filters(), *m_state, context);
+    if (refused)
+    {
+        // An unread body would be taken for the next request.
+        co_return co_await write_refusal(
+            context,
+            std::get<refusal>(*refused),
+            keep_open && parser.is_done());
+    }
+    co_await invite_body(context);
+    auto const incomplete = co_await read_body(parser);
+    if (incomplete && m_caller.is_gone())
+    {
+        co_return false;
+    }
+    if (incomplete)
+    {
+        co_return co_await write_refusal(context, *incomplete, false);
+    }
+    context.m_body = std::move(parser.get().body());
+    context.m_received = runtime_clock::now();
+    context.m_deadline = context.m_received + context.m_work_class.m_deadline;
+    co_return co_await run_and_answer(context, keep_open);
+}
+
+asio::awaitable<bool>
+caller_session::run_and_answer(request_context& context, bool keep_open)
+{
+    running_scope const running{*m_state};
+    m_state->metrics_of(context.m_work_class.m_name).m_requests->add();
+    request_result result = co_await run(context);
+    record(context, result);
+    if (auto* answer = std::get_if<full_answer>(&result))
+    {
+        co_return co_await write_answer(
+            context, std::move(answer->m_response), keep_open);
+    }
+    if (auto const* reason = std::get_if<refusal>(&result))
+    {
+        co_return co_await write_refusal(context, *reason, keep_open);
+    }
+    if (std::holds_alternative<broken_answer>(result))
+    {
+        abort();
+        co_return false;
+    }
+    co_return keep_open;
+}
+
+asio::awaitable<request_result> caller_session::run(request_context& context)
+{
+    auto ended = co_await run_filters(request_filters(), *m_state, context);
+    if (ended)
+    {
+        co_return std::move(*ended);
+    }
+    if (context.m_work_class.m_archive)
+    {
+        co_return co_await run_archive(context);
+    }
+    co_return co_await run_buffered(*m_state, context);
+}
+
+asio::awaitable<request_result>
+caller_session::run_archive(request_context& context)
+{
+    download_target target;
+    target.m_sink.m_on_head =
+        [this](http::response_header<> const& head, std::uint64_t)
+    {
+        return write_stream_head(head);
+    };
+    target.m_sink.m_on_data = [this](std::string_view data)
+    {
+        return write_data(data);
+    };
+    target.m_abort = [this]
+    {
+        abort();
+    };
+    co_return co_await stream_archive(*m_state, context, target);
+}
+
+void caller_session::record(
+    request_context const& context, request_result const& result)
+{
+    auto const total = runtime_clock::now() - context.m_received;
+    m_state->metrics_of(context.m_work_class.m_name).m_total->record(total);
+    if (std::holds_alternative<full_answer>(result))
+    {
+        m_state->m_added.record(total - context.m_upstream_time);
+    }
+}
+
+/// Waits for the first byte of a request. While stopping, only a new
+/// connection may still send one, which gets its refusal.
+asio::awaitable<bool> caller_session::wait_for_request()
+{
+    bool const is_stopping = m_state->readiness(runtime_clock::now()) ==
+                             result_code::stopping;
+    if (std::exchange(m_has_served, true) && is_stopping && m_input.empty())
+    {
+        co_return false;
+    }
+    m_is_idle = true;
+    auto const deadline = runtime_clock::now() + idle_timeout;
+    while (m_input.empty() && co_await wait_for_input(deadline))
+    {
+    }
+    m_is_idle = false;
+    co_return !m_input.empty();
+}
+
+/// True when more input arrived or may have arrived.
+asio::awaitable<bool> caller_session::wait_for_input(time_point deadline)
+{
+    if (m_caller.is_gone() || !m_socket.is_open() ||
+        runtime_clock::now() >= deadline)
+    {
+        co_return false;
+    }
+    m_input_timer.expires_at(deadline);
+    auto [error] = co_await m_input_timer.async_wait(use_tuple);
+    co_return error == asio::error::operation_aborted;
+}
+
+asio::awaitable<caller_session::read_result>
+caller_session::read_head(request_parser& parser)
+{
+    head_scan scan = scan_head(m_input);
+    while (scan.m_length == 0 && scan.m_code == result_code::ok)
+    {
+        if (!co_await wait_for_input(m_request_deadline))
+        {
+            co_return refusal{result_code::caller_too_slow, std::nullopt};
+        }
+        scan = scan_head(m_input);
+    }
+    if (scan.m_code != result_code::ok)
+    {
+        co_return refusal{scan.m_code, std::nullopt};
+    }
+    std::string_view const head{m_input.data(), scan.m_length};
+    auto const code = check_raw_head(head);
+    if (code != result_code::ok)
+    {
+        co_return refusal{code, std::nullopt};
+    }
+    error_code error;
+    parser.put(asio::buffer(head), error);
+    if (error && error != http::error::need_more)
+    {
+        co_return refusal{parse_error_code(error), std::nullopt};
+    }
+    if (!parser.is_header_done())
+    {
+        co_return refusal{result_code::malformed_request, std::nullopt};
+    }
+    consume(scan.m_length);
+    co_return std::nullopt;
+}
+
+asio::awaitable<caller_session::read_result>
+caller_session::read_body(request_parser& parser)
+{
+    parser.eager(true);
+    while (!parser.is_done())
+    {
+        error_code error;
+        std::size_t const used = parser.put(asio::buffer(m_input), error);
+        consume(used);
+        if (error && error != http::error::need_more)
+        {
+            co_return refusal{parse_error_code(error), std::nullopt};
+        }
+        if (parser.is_done())
+        {
+            break;
+        }
+        if (m_input.size() >= max_input_bytes)
+        {
+            co_return refusal{result_code::malformed_request, std::nullopt};
+        }
+        if (!co_await wait_for_input(m_request_deadline))
+        {
+            co_return refusal{result_code::caller_too_slow, std::nullopt};
+        }
+    }
+    co_return std::nullopt;
+}
+
+/// Callers may wait for this before they send a body.
+asio::awaitable<void>
+caller_session::invite_body(request_context const& context)
+{
+    bool const is_expected = !context.m_head[http::field::expect].empty();
+    if (!is_expected || !m_input.empty())
+    {
+        co_return;
+    }
+    co_await write_data(continue_response);
+}
+
+void caller_session::consume(std::size_t bytes)
+{
+    m_input.erase(0, bytes);
+    m_space_timer.cancel();
+}
+
+asio::awaitable<bool> caller_session::write_refusal(
+    request_context const& context, refusal reason, bool keep_open)
+{
+    m_state->count_refusal(reason.m_code, context.m_work_class.m_name);
+    co_return co_await write_answer(context, make_refusal(reason), keep_open);
+}
+
+asio::awaitable<bool> caller_session::write_answer(
+    request_context const& context, caller_response answer, bool keep_open)
+{
+    if (m_caller.is_gone())
+    {
+        co_return false;
+    }
+    bool const is_stopping =
+        m_state->readiness(runtime_clock::now()) == result_code::stopping;
+    keep_open = keep_open && !is_stopping;
+    answer.keep_alive(keep_open);
+    if (!context.m_request_id.empty())
+    {
+        answer.set(request_id_field, context.m_request_id);
+    }
+    http::response_serializer<http::string_body> serializer{answer};
+    serializer.limit(write_chunk_bytes);
+    bool const head_only = context.m_head.method() == http::verb::head;
+    serializer.split(head_only);
+    while (!(head_only ? serializer.is_header_done() : serializer.is_done()))
+    {
+        arm_write_timeout();
+        auto [error, bytes] =
+            co_await http::async_write_some(m_socket, serializer, use_tuple);
+        disarm_write_timeout();
+        if (error)
+        {
+            abort();
+            co_return false;
+        }
+    }
+    co_return keep_open;
+}
+
+asio::awaitable<bool>
+caller_session::write_stream_head(http::response_header<> const& head)
+{
+    http::response<http::empty_body> response{head};
+    http::response_serializer<http::empty_body> serializer{response};
+    arm_write_timeout();
+    auto [error, bytes] =
+        co_await http::async_write_header(m_socket, serializer, use_tuple);
+    disarm_write_timeout();
+    co_return !error;
+}
+
+asio::awaitable<bool> caller_session::write_data(std::string_view data)
+{
+    while (!data.empty())
+    {
+        arm_write_timeout();
+        auto [error, bytes] = co_await m_socket.async_write_some(
+            asio::buffer(data.data(), data.size()), use_tuple);
+        disarm_write_timeout();
+        if (error)
+        {
+            co_return false;
+        }
+        data.remove_prefix(bytes);
+    }
+    co_return true;
+}
+
+/// Closes the connection if the caller takes nothing for too long.
+void caller_session::arm_write_timeout()
+{
+    ++m_write_number;
+    m_write_timer.expires_after(m_state->m_options.m_caller_timeout);
+    m_write_timer.async_wait(
+        [weak = weak_from_this(), number = m_write_number](error_code error)
+        {
+            auto const self = weak.lock();
+            if (!error && self && self->m_write_number == number)
+            {
+                self->abort();
+            }
+        });
+}
+
+void caller_session::disarm_write_timeout()
+{
+    ++m_write_number;
+    m_write_timer.cancel();
+}
+
+asio::awaitable<void> caller_session::close_gracefully()
+{
+    error_code ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    m_is_discarding = true;
+    consume(m_input.size());
+    auto const deadline = runtime_clock::now() + linger_timeout;
+    while (co_await wait_for_input(deadline))
+    {
+    }
+    abort();
+}
+
+} // namespace briarhub
--- /dev/null
+++ b/src/traffic.cpp
@@ -0,0 +1,258 @@
+#include "traffic.hpp"
+
+#include "caller_session.hpp"
+#include "traffic_state.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <charconv>
+#include <list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace briarhub
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+
+/// Pause after a failed accept, for example without free descriptors.
+constexpr std::chrono::milliseconds accept_pause{100};
+
+/// Connections above the limit that may wait for their refusal; more are
+/// closed without one.
+constexpr std::size_t max_refusing_connections = 64;
+
+/// Throws boost::system::system_error.
+asio::ip::tcp::endpoint parse_endpoint(endpoint_address const& address)
+{
+    auto const colon = address.rfind(':');
+    std::string_view host{address.data(), std::min(colon, address.size())};
+    if (host.starts_with('[') && host.ends_with(']'))
+    {
+        host = host.substr(1, host.size() - 2);
+    }
+    std::uint16_t port = 0;
+    auto const* end = address.data() + address.size();
+    auto const* begin =
+        colon == std::string::npos ? end : address.data() + colon + 1;
+    auto const [last, error] = std::from_chars(begin, end, port);
+    if (error != std::errc{} || last != end)
+    {
+        throw boost::system::system_error{
+            make_error_code(asio::error::invalid_argument),
+            "listen address " + address};
+    }
+    return {asio::ip::make_address(host), port};
+}
+
+/// Accepts callers and runs the periodic work. Its coroutines share it.
+class traffic_server : public std::enable_shared_from_this<traffic_server>
+{
+public:
+    traffic_server(
+        asio::io_context& io,
+        settings const& options,
+        member const& self,
+        metrics_registry& metrics,
+        mailbox<control_message>& to_control)
+        : m_state(std::make_shared<traffic_state>(
+              io, options, self, metrics, to_control)),
+          m_acceptor(io, parse_endpoint(options.m_listen)), m_tick_timer(io),
+          m_connections(metrics.get_gauge("briarhub_caller_connections"))
+    {
+        m_state->m_on_stopping = [this]
+        {
+            close_idle_sessions();
+        };
+        m_state->m_on_stopped = [this]
+        {
+            stop_accepting();
+        };
+    }
+
+    void start()
+    {
+        asio::co_spawn(
+            m_state->m_io, accept_callers(shared_from_this()), asio::detached);
+        asio::co_spawn(
+            m_state->m_io, run_ticks(shared_from_this()), asio::detached);
+    }
+
+    void shut_down()
+    {
+        m_is_shut_down = true;
+        m_state->shut_down();
+        stop_accepting();
+        m_tick_timer.cancel();
+        for (auto const& weak : m_sessions)
+        {
+            if (auto const session = weak.lock())
+            {
+                session->abort();
+            }
+        }
+    }
+
+    traffic_state& state()
+    {
+        return *m_state;
+    }
+
+    [[nodiscard]] std::uint16_t port() const
+    {
+        return m_port;
+    }
+
+private:
+    static asio::awaitable<void>
+    accept_callers(std::shared_ptr<traffic_server> self)
+    {
+        while (self->m_acceptor.is_open())
+        {
+            auto [error, socket] =
+                co_await self->m_acceptor.async_accept(use_tuple);
+            if (!error)
+            {
+                self->add_session(std::move(socket));
+                continue;
+            }
+            if (!self->m_acceptor.is_open())
+            {
+                co_return;
+            }
+            timer pause{self->m_state->m_io, accept_pause};
+            co_await pause.async_wait(use_tuple);
+        }
+    }
+
+    static asio::awaitable<void> run_ticks(std::shared_ptr<traffic_server> self)
+    {
+        while (!self->m_is_shut_down)
+        {
+            self->m_state->tick();
+            self->forget_ended_sessions();
+            self->m_tick_timer.expires_after(health_interval);
+            co_await self->m_tick_timer.async_wait(use_tuple);
+        }
+    }
+
+    void add_session(asio::ip::tcp::socket socket)
+    {
+        forget_ended_sessions();
+        std::size_t const limit = m_state->m_options.m_max_connections;
+        if (m_sessions.size() >= limit + max_refusing_connections)
+        {
+            m_state->count_refusal(result_code::too_many_connections, "");
+            return;
+        }
+        bool const is_over = m_sessions.size() >= limit;
+        auto const session =
+            std::make_shared<caller_session>(std::move(socket), m_state);
+        m_sessions.push_back(session);
+        if (is_over)
+        {
+            session->start_refusing(result_code::too_many_connections);
+            return;
+        }
+        session->start();
+    }
+
+    void forget_ended_sessions()
+    {
+        std::erase_if(
+            m_sessions,
+            [](std::weak_ptr<caller_session> const& session)
+            {
+                return session.expired();
+            });
+        m_connections.set(static_cast<double>(m_sessions.size()));
+    }
+
+    void close_idle_sessions()
+    {
+        for (auto const& weak : m_sessions)
+        {
+            if (auto const session = weak.lock())
+            {
+                session->close_if_idle();
+            }
+        }
+    }
+
+    void stop_accepting()
+    {
+        error_code ignored;
+        m_acceptor.close(ignored);
+    }
+
+    std::shared_ptr<traffic_state> m_state;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::uint16_t m_port = m_acceptor.local_endpoint().port();
+    timer m_tick_timer;
+    gauge& m_connections;
+    std::list<std::weak_ptr<caller_session>> m_sessions;
+    bool m_is_shut_down = false;
+};
+
+} // namespace
+
+struct traffic::implementation
+{
+    std::shared_ptr<traffic_server> m_server;
+};
+
+traffic::traffic(
+    asio::io_context& io,
+    settings const& options,
+    member const& self,
+    metrics_registry& metrics,
+    mailbox<control_message>& to_control)
+    : m_implementation(std::make_unique<implementation>())
+{
+    m_implementation->m_server = std::make_shared<traffic_server>(
+        io, options, self, metrics, to_control);
+}
+
+traffic::~traffic()
+{
+    m_implementation->m_server->shut_down();
+}
+
+void traffic::start()
+{
+    m_implementation->m_server->start();
+}
+
+void traffic::receive(traffic_message&& message)
+{
+    auto& state = m_implementation->m_server->state();
+    std::visit(
+        [&state](auto&& specific)
+        {
+            state.receive(std::move(specific));
+        },
+        std::move(message));
+}
+
+void traffic::receive(admin_query&& query)
+{
+    auto& state = m_implementation->m_server->state();
+    query.m_reply(state.answer(query.m_topic));
+}
+
+std::uint16_t traffic::port() const
+{
+    return m_implementation->m_server->port();
+}
+
+} // namespace briarhub
