--- a/src/archive_stream.cpp
+++ b/src/archive_stream.cpp
@@ -265,17 +265,13 @@
     co_return co_await attempt.run(position);
 }
 
-} // namespace
-
-asio::awaitable<request_result> stream_archive(
+asio::awaitable<request_result> try_upstreams(
     traffic_state& state,
     request_context& context,
-    download_target const& caller)
+    download_target const& caller,
+    attempt_history& history,
+    stream_position& position)
 {
-    attempt_history history;
-    stream_position position;
-    state.m_retries.request_started(
-        runtime_clock::now(), context.m_work_class.m_service);
     for (;;)
     {
         upstream_grant grant =
@@ -318,4 +314,18 @@
     }
 }
 
+} // namespace
+
+asio::awaitable<request_result> stream_archive(
+    traffic_state& state,
+    request_context& context,
+    download_target const& caller)
+{
+    attempt_history history;
+    stream_position position;
+    state.m_retries.request_started(
+        runtime_clock::now(), context.m_work_class.m_service);
+    co_return co_await try_upstreams(state, context, caller, history, position);
+}
+
 } // namespace briarhub
--- a/src/caller_session.cpp
+++ b/src/caller_session.cpp
@@ -352,8 +352,8 @@
 /// connection may still send one, which gets its refusal.
 asio::awaitable<bool> caller_session::wait_for_request()
 {
-    bool const is_stopping = m_state->readiness(runtime_clock::now()) ==
-                             result_code::stopping;
+    bool const is_stopping =
+        m_state->readiness(runtime_clock::now()) == result_code::stopping;
     if (std::exchange(m_has_served, true) && is_stopping && m_input.empty())
     {
         co_return false;
--- a/src/thread_messages.hpp
+++ b/src/thread_messages.hpp
@@ -24,6 +24,9 @@
     config_version m_version = 0;
     std::unique_ptr<config> m_whole;
     std::vector<config_operation> m_operations;
+    /// Version of the control stream that holds this change; increases of an
+    /// account's base wait until it is stable.
+    control_version m_control_version = 0;
 };
 
 struct upstreams_update
@@ -35,6 +38,8 @@
 {
     control_version m_version = 0;
     std::vector<member> m_members;
+    bool m_is_first = false; ///< no version before this one had members
+    bool m_has_gap = false;  ///< versions since the last update were skipped
 };
 
 struct stable_update
--- a/src/traffic_state.cpp
+++ b/src/traffic_state.cpp
@@ -114,6 +114,9 @@
 void traffic_state::receive(config_update&& message)
 {
     auto const now = runtime_clock::now();
+    // A message without a version must not make an increase of a base apply
+    // earlier than the newest version known here.
+    m_control_version = std::max(m_control_version, message.m_control_version);
     if (message.m_whole)
     {
         apply_whole(now, std::move(*message.m_whole));
@@ -139,7 +142,7 @@
     }
     for (auto const& [name, account] : whole.m_accounts)
     {
-        m_rates.put_account(now, account);
+        m_rates.put_account(now, account, m_control_version);
     }
     m_config = std::move(whole);
     m_keys.assign(m_config);
@@ -178,7 +181,7 @@
 
 void traffic_state::apply(time_point now, put_account const& operation)
 {
-    m_rates.put_account(now, operation.m_account);
+    m_rates.put_account(now, operation.m_account, m_control_version);
 }
 
 void traffic_state::apply(time_point now, remove_account const& operation)
@@ -238,6 +241,10 @@
     rate_share::member_view view;
     view.m_version = message.m_version;
     view.m_members = std::move(message.m_members);
+    view.m_is_first = message.m_is_first;
+    view.m_has_gap = message.m_has_gap;
+    m_control_version = std::max(m_control_version, message.m_version);
+    m_retries.set_members(view.m_members.size());
     m_rates.set_members(runtime_clock::now(), view);
     poll_rates();
 }
@@ -251,6 +258,7 @@
 void traffic_state::receive(freshness_update&& message)
 {
     m_valid_until = message.m_valid_until;
+    m_rates.set_valid_until(m_valid_until);
 }
 
 void traffic_state::receive(claims_covered&& message)
--- a/src/traffic_state.hpp
+++ b/src/traffic_state.hpp
@@ -193,6 +193,7 @@
     timer m_dispatch_timer;
     timer m_rate_timer;
     time_point m_valid_until{};
+    control_version m_control_version = 0; ///< the newest one known
     time_point m_next_report{};
     request_ticket m_last_ticket = 0;
     std::size_t m_running = 0;
