--- /dev/null
+++ b/tests/traffic_harness.hpp
@@ -0,0 +1,445 @@
+#ifndef BRIARHUB_TRAFFIC_HARNESS_HPP
+#define BRIARHUB_TRAFFIC_HARNESS_HPP
+
+/// A traffic object with callers, upstreams and a control thread of the test,
+/// all on one thread under the paused clock.
+
+#include "caller_key.hpp"
+#include "claim_key.hpp"
+#include "traffic.hpp"
+#include "upstream_client.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/json/parse.hpp>
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace briarhub::test
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using namespace std::chrono_literals;
+using asio::ip::tcp;
+
+inline constexpr char const* secret = "sesame-4711-open";
+
+inline std::string
+make_text(std::string const& line, std::string const& more = "")
+{
+    return line + " HTTP/1.1\r\nHost: h\r\nX-Api-Key: " + secret + "\r\n" +
+           more + "\r\n";
+}
+
+/// Answers requests as the test says.
+class fake_upstream
+{
+public:
+    using request = http::request<http::string_body>;
+
+    /// Raw bytes to send; the connection is closed after them if `m_close`.
+    struct reply
+    {
+        std::string m_bytes;
+        bool m_close = false;
+    };
+
+    fake_upstream(asio::io_context& io, std::string id)
+        : m_id(std::move(id)), m_io(io),
+          m_acceptor(io, {asio::ip::make_address("127.0.0.1"), 0})
+    {
+        asio::co_spawn(io, accept(), asio::detached);
+    }
+
+    static std::string make_answer(
+        request const& from,
+        std::string const& body,
+        std::string const& status = "200 OK",
+        std::string const& more = "")
+    {
+        return "HTTP/1.1 " + status + "\r\nBriarhub-Request-Id: " +
+               std::string{from[request_id_field]} +
+               "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" +
+               more + "\r\n" + body;
+    }
+
+    [[nodiscard]] upstream listing(service_name const& service) const
+    {
+        upstream entry;
+        entry.m_id = m_id;
+        entry.m_service = service;
+        entry.m_failure_domain = "d1";
+        entry.m_address =
+            "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+        entry.m_slots = 4;
+        return entry;
+    }
+
+    std::string m_id;
+    std::vector<std::string> m_requests; ///< whole text of each request
+    std::vector<std::shared_ptr<tcp::socket>> m_sockets;
+    std::function<reply(request const&)> m_on_request = [](request const& from)
+    {
+        return reply{make_answer(from, "hello")};
+    };
+
+private:
+    asio::awaitable<void> accept()
+    {
+        for (;;)
+        {
+            auto socket = std::make_shared<tcp::socket>(
+                co_await m_acceptor.async_accept(asio::use_awaitable));
+            m_sockets.push_back(socket);
+            asio::co_spawn(m_io, serve(socket), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(std::shared_ptr<tcp::socket> socket)
+    {
+        constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+        boost::beast::flat_buffer buffer;
+        for (;;)
+        {
+            request got;
+            auto [error, bytes] =
+                co_await http::async_read(*socket, buffer, got, use_tuple);
+            if (error)
+            {
+                co_return;
+            }
+            std::ostringstream text;
+            text << got;
+            m_requests.push_back(text.str());
+            reply const answer = m_on_request(got);
+            auto [failed, sent] = co_await asio::async_write(
+                *socket, asio::buffer(answer.m_bytes), use_tuple);
+            if (answer.m_close || failed)
+            {
+                socket->close();
+                co_return;
+            }
+        }
+    }
+
+    asio::io_context& m_io;
+    tcp::acceptor m_acceptor;
+};
+
+class harness
+{
+public:
+    explicit harness(std::uint32_t max_connections = 16)
+        : m_clock(), m_first(m_io, "u1"), m_second(m_io, "u2"),
+          m_to_control(
+              m_io,
+              1024,
+              [this](control_message&& message)
+              {
+                  take(std::move(message));
+              }),
+          m_traffic(
+              m_io,
+              make_settings(max_connections),
+              m_self,
+              m_metrics,
+              m_to_control)
+    {
+        m_traffic.start();
+    }
+
+    /// Sends everything that makes the VM ready and lets tokens gather.
+    void make_ready(std::vector<upstream> upstreams = {})
+    {
+        config_update configuration;
+        configuration.m_version = 1;
+        configuration.m_control_version = 1;
+        configuration.m_whole = std::make_unique<config>(make_config());
+        receive(std::move(configuration));
+        receive(members_update{1, {m_self}, true, false});
+        receive(stable_update{1});
+        receive(freshness_update{runtime_clock::now() + 24h});
+        receive(claims_covered{wall_now() - 1h, true});
+        if (upstreams.empty())
+        {
+            upstreams = {m_first.listing("desk"), m_second.listing("desk")};
+        }
+        receive(upstreams_update{std::move(upstreams)});
+        // Rebalance delay, tokens and slow start.
+        for (int i = 0; i < 30; ++i)
+        {
+            advance(1s);
+        }
+    }
+
+    template <class Message>
+    void receive(Message&& message)
+    {
+        m_traffic.receive(traffic_message{std::forward<Message>(message)});
+    }
+
+    void change(config_operation operation)
+    {
+        config_update update;
+        update.m_version = 2;
+        update.m_operations.push_back(std::move(operation));
+        receive(std::move(update));
+    }
+
+    void advance(duration step)
+    {
+        runtime_clock::advance(step);
+        m_io.run_for(3ms);
+    }
+
+    /// Runs the thread until the condition holds; real time only bounds the
+    /// wait of a test that fails.
+    template <class Condition>
+    void run_until(Condition&& condition)
+    {
+        auto const end = std::chrono::steady_clock::now() + 60s;
+        while (!condition())
+        {
+            REQUIRE(std::chrono::steady_clock::now() < end);
+            m_io.run_one_for(1ms);
+        }
+    }
+
+    template <class Message>
+    std::size_t count_messages() const
+    {
+        std::size_t count = 0;
+        for (auto const& message : m_messages)
+        {
+            count += std::holds_alternative<Message>(message) ? 1 : 0;
+        }
+        return count;
+    }
+
+    template <class Message>
+    Message const& last_message() const
+    {
+        for (auto at = m_messages.rbegin(); at != m_messages.rend(); ++at)
+        {
+            if (auto const* found = std::get_if<Message>(&*at))
+            {
+                return *found;
+            }
+        }
+        FAIL("no such message");
+        std::abort();
+    }
+
+    static config make_config()
+    {
+        config result;
+        result.m_services["desk"] = {"desk", 0.0};
+        auto const add = [&](work_class_config work_class)
+        {
+            work_class.m_service = "desk";
+            result.m_work_classes[work_class.m_name] = work_class;
+        };
+        work_class_config read;
+        read.m_name = "read";
+        read.m_method = "GET";
+        read.m_path_prefix = "/read";
+        add(read);
+        work_class_config pay = read;
+        pay.m_name = "pay";
+        pay.m_method = "POST";
+        pay.m_path_prefix = "/pay";
+        pay.m_idempotent = false;
+        add(pay);
+        work_class_config archive = read;
+        archive.m_name = "archive";
+        archive.m_path_prefix = "/archive";
+        archive.m_archive = true;
+        archive.m_deadline = 600s;
+        add(archive);
+        work_class_config other = read;
+        other.m_name = "other";
+        other.m_path_prefix = "/other";
+        other.m_accounts = {"somebody"};
+        add(other);
+        result.m_accounts["acme"] = {"acme", 100.0, 100.0};
+        result.m_accounts["slow"] = {"slow", 0.1, 1.0};
+        result.m_keys["k1"] = {"k1", sha256_hex(secret), "acme"};
+        result.m_keys["k2"] = {"k2", sha256_hex("second-key"), "slow"};
+        return result;
+    }
+
+    /// Restores the clock after everything that uses it.
+    struct clock_pause
+    {
+        clock_pause()
+        {
+            runtime_clock::pause();
+        }
+        ~clock_pause()
+        {
+            runtime_clock::resume();
+        }
+    };
+
+    clock_pause m_clock;
+    asio::io_context m_io;
+    metrics_registry m_metrics;
+    member const m_self{"vm1", 7, "d1"};
+    fake_upstream m_first;
+    fake_upstream m_second;
+    std::vector<control_message> m_messages;
+    /// The decision about a claim; nullopt leaves it undecided.
+    std::function<std::optional<claim_verdict>(claim_request const&)>
+        m_on_claim = [this](claim_request const& request)
+    {
+        return claim_won{{m_self.m_vm, 7, request.m_ticket}};
+    };
+    mailbox<control_message> m_to_control;
+    traffic m_traffic;
+
+private:
+    static settings make_settings(std::uint32_t max_connections)
+    {
+        settings options;
+        options.m_listen = "127.0.0.1:0";
+        options.m_caller_timeout = 10s;
+        options.m_max_connections = max_connections;
+        return options;
+    }
+
+    void take(control_message&& message)
+    {
+        if (auto const* request = std::get_if<claim_request>(&message))
+        {
+            if (auto verdict = m_on_claim(*request))
+            {
+                receive(claim_decision{request->m_ticket, std::move(*verdict)});
+            }
+        }
+        m_messages.push_back(std::move(message));
+    }
+};
+
+/// A caller's connection.
+class caller
+{
+public:
+    explicit caller(harness& owner) : m_owner(owner), m_socket(owner.m_io)
+    {
+        m_socket.connect(
+            {asio::ip::make_address("127.0.0.1"), owner.m_traffic.port()});
+        m_socket.non_blocking(true);
+    }
+
+    void send(std::string const& text)
+    {
+        asio::write(m_socket, asio::buffer(text));
+    }
+
+    using answer = http::response<http::string_body>;
+
+    /// Reads one whole answer.
+    answer read()
+    {
+        http::response_parser<http::string_body> parser;
+        parser.eager(true);
+        m_owner.run_until(
+            [&]
+            {
+                receive();
+                boost::system::error_code error;
+                m_input.erase(0, parser.put(asio::buffer(m_input), error));
+                REQUIRE((!error || error == http::error::need_more));
+                return parser.is_done();
+            });
+        return parser.release();
+    }
+
+    answer exchange(std::string const& text)
+    {
+        send(text);
+        return read();
+    }
+
+    /// The result code of the answer; checks that header and body agree.
+    result_code refused(std::string const& text)
+    {
+        send(text);
+        return read_refusal();
+    }
+
+    result_code read_refusal()
+    {
+        m_answer = read();
+        auto const body = boost::json::parse(m_answer.body());
+        auto const code = body.at("code").to_number<unsigned>();
+        auto const result = static_cast<result_code>(code);
+        CHECK(m_answer["Briarhub-Result"] == std::to_string(code));
+        CHECK(m_answer.result_int() == describe(result).m_http_status);
+        CHECK(
+            body.at("run").as_string() ==
+            std::string{to_string(describe(result).m_run)});
+        return result;
+    }
+
+    /// Reads until `bytes` more arrived.
+    void wait_for_bytes(std::size_t bytes)
+    {
+        m_owner.run_until(
+            [&]
+            {
+                receive();
+                return m_input.size() >= bytes;
+            });
+    }
+
+    void wait_for_close()
+    {
+        m_owner.run_until(
+            [&]
+            {
+                receive();
+                return m_is_closed;
+            });
+    }
+
+    void close()
+    {
+        m_socket.close();
+    }
+
+    std::string m_input;
+    answer m_answer;
+
+private:
+    void receive()
+    {
+        std::array<char, 4096> chunk;
+        boost::system::error_code error;
+        auto const bytes = m_socket.read_some(asio::buffer(chunk), error);
+        m_input.append(chunk.data(), bytes);
+        m_is_closed = m_is_closed || (error != boost::system::error_code{} &&
+                                      error != asio::error::would_block);
+    }
+
+    harness& m_owner;
+    tcp::socket m_socket;
+    bool m_is_closed = false;
+};
+
+} // namespace briarhub::test
+
+#endif
