--- /dev/null
+++ b/src/http2_connection.cpp
@@ -0,0 +1,434 @@
+#include "http2_connection.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <iterator>
+#include <new>
+
+namespace briarhub::detail
+{
+namespace
+{
+
+/// Streams that the remote end may have open at a time.
+constexpr std::uint32_t max_concurrent_streams = 256;
+
+/// Peers' heads are a handful of short fields.
+constexpr std::uint32_t max_head_bytes = 8 * 1024;
+
+std::string_view to_text(std::uint8_t const* data, std::size_t length)
+{
+    return {reinterpret_cast<char const*>(data), length};
+}
+
+nghttp2_nv to_nv(http2_field const& field)
+{
+    auto const bytes = [](std::string_view text)
+    {
+        // nghttp2 copies the field; it takes non-const pointers for C.
+        return const_cast<std::uint8_t*>(
+            reinterpret_cast<std::uint8_t const*>(text.data()));
+    };
+    return {
+        bytes(field.first),
+        bytes(field.second),
+        field.first.size(),
+        field.second.size(),
+        NGHTTP2_NV_FLAG_NONE};
+}
+
+std::vector<nghttp2_nv> to_nvs(std::vector<http2_field> const& fields)
+{
+    std::vector<nghttp2_nv> converted;
+    converted.reserve(fields.size());
+    std::ranges::transform(fields, std::back_inserter(converted), to_nv);
+    return converted;
+}
+
+unsigned parse_status(std::string_view text)
+{
+    unsigned status = 0;
+    std::from_chars(text.data(), text.data() + text.size(), status);
+    return status;
+}
+
+} // namespace
+
+struct http2_connection::callbacks
+{
+    static http2_connection& self(void* user_data)
+    {
+        return *static_cast<http2_connection*>(user_data);
+    }
+
+    static int begin_headers(
+        nghttp2_session* /*session*/,
+        nghttp2_frame const* frame,
+        void* user_data)
+    {
+        self(user_data).m_streams.try_emplace(frame->hd.stream_id);
+        return 0;
+    }
+
+    static int header(
+        nghttp2_session* /*session*/,
+        nghttp2_frame const* frame,
+        std::uint8_t const* name,
+        std::size_t name_length,
+        std::uint8_t const* value,
+        std::size_t value_length,
+        std::uint8_t /*flags*/,
+        void* user_data)
+    {
+        auto& streams = self(user_data).m_streams;
+        auto const found = streams.find(frame->hd.stream_id);
+        if (found == streams.end())
+        {
+            return 0;
+        }
+        std::string_view const field = to_text(name, name_length);
+        std::string_view const text = to_text(value, value_length);
+        if (field == ":method")
+        {
+            found->second.m_method = text;
+        }
+        else if (field == ":path")
+        {
+            found->second.m_path = text;
+        }
+        else if (field == ":status")
+        {
+            found->second.m_status = parse_status(text);
+        }
+        return 0;
+    }
+
+    static int data_chunk(
+        nghttp2_session* session,
+        std::uint8_t /*flags*/,
+        std::int32_t id,
+        std::uint8_t const* data,
+        std::size_t length,
+        void* user_data)
+    {
+        if (!self(user_data).append_body(id, to_text(data, length)))
+        {
+            nghttp2_submit_rst_stream(
+                session, NGHTTP2_FLAG_NONE, id, NGHTTP2_ENHANCE_YOUR_CALM);
+        }
+        return 0;
+    }
+
+    static int frame_received(
+        nghttp2_session* /*session*/,
+        nghttp2_frame const* frame,
+        void* user_data)
+    {
+        bool const carries_message =
+            frame->hd.type == NGHTTP2_HEADERS || frame->hd.type == NGHTTP2_DATA;
+        bool const ends = (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
+        if (carries_message && ends)
+        {
+            self(user_data).finish_message(frame->hd.stream_id);
+        }
+        return 0;
+    }
+
+    static int stream_closed(
+        nghttp2_session* /*session*/,
+        std::int32_t id,
+        std::uint32_t /*error_code*/,
+        void* user_data)
+    {
+        http2_connection& connection = self(user_data);
+        auto node = connection.m_streams.extract(id);
+        if (!node.empty())
+        {
+            connection.on_stream_closed(id, node.mapped());
+        }
+        return 0;
+    }
+
+    static ssize_t body(
+        nghttp2_session* /*session*/,
+        std::int32_t id,
+        std::uint8_t* buffer,
+        std::size_t length,
+        std::uint32_t* flags,
+        nghttp2_data_source* /*source*/,
+        void* user_data)
+    {
+        auto& streams = self(user_data).m_streams;
+        auto const found = streams.find(id);
+        if (found == streams.end())
+        {
+            return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+        }
+        http2_stream& stream = found->second;
+        std::string_view const rest =
+            std::string_view{stream.m_to_send}.substr(stream.m_sent);
+        std::size_t const count = std::min(length, rest.size());
+        std::copy_n(rest.data(), count, buffer);
+        stream.m_sent += count;
+        if (count == rest.size())
+        {
+            *flags |= NGHTTP2_DATA_FLAG_EOF;
+            stream.m_to_send = {};
+            stream.m_sent = 0;
+        }
+        return static_cast<ssize_t>(count);
+    }
+};
+
+http2_connection::http2_connection(
+    boost::asio::ip::tcp::socket socket,
+    http2_role role,
+    std::size_t max_message_bytes,
+    std::shared_ptr<byte_totals> totals)
+    : m_socket(std::move(socket)), m_role(role),
+      m_max_message_bytes(max_message_bytes), m_totals(std::move(totals))
+{
+    nghttp2_session_callbacks* table = nullptr;
+    if (nghttp2_session_callbacks_new(&table) != 0)
+    {
+        throw std::bad_alloc{};
+    }
+    nghttp2_session_callbacks_set_on_begin_headers_callback(
+        table, callbacks::begin_headers);
+    nghttp2_session_callbacks_set_on_header_callback(table, callbacks::header);
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(
+        table, callbacks::data_chunk);
+    nghttp2_session_callbacks_set_on_frame_recv_callback(
+        table, callbacks::frame_received);
+    nghttp2_session_callbacks_set_on_stream_close_callback(
+        table, callbacks::stream_closed);
+    int const created =
+        role == http2_role::client
+            ? nghttp2_session_client_new(&m_session, table, this)
+            : nghttp2_session_server_new(&m_session, table, this);
+    nghttp2_session_callbacks_del(table);
+    if (created != 0)
+    {
+        throw std::bad_alloc{};
+    }
+    send_settings();
+}
+
+http2_connection::~http2_connection()
+{
+    nghttp2_session_del(m_session);
+}
+
+/// The windows admit one message of the largest size without a window update,
+/// so that a whole state takes one round trip.
+void http2_connection::send_settings()
+{
+    auto const window = static_cast<std::uint32_t>(
+        std::min<std::size_t>(m_max_message_bytes, NGHTTP2_MAX_WINDOW_SIZE));
+    std::array const entries{
+        nghttp2_settings_entry{
+            NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, max_concurrent_streams},
+        nghttp2_settings_entry{NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, window},
+        nghttp2_settings_entry{
+            NGHTTP2_SETTINGS_MAX_HEADER_LIST_SIZE, max_head_bytes},
+        nghttp2_settings_entry{NGHTTP2_SETTINGS_ENABLE_PUSH, 0}};
+    std::size_t const count =
+        m_role == http2_role::client ? entries.size() : entries.size() - 1;
+    nghttp2_submit_settings(
+        m_session, NGHTTP2_FLAG_NONE, entries.data(), count);
+    nghttp2_session_set_local_window_size(
+        m_session, NGHTTP2_FLAG_NONE, 0, static_cast<std::int32_t>(window));
+}
+
+void http2_connection::start()
+{
+    boost::system::error_code ignored;
+    m_socket.set_option(boost::asio::ip::tcp::no_delay{true}, ignored);
+    m_started = true;
+    read();
+    flush();
+}
+
+void http2_connection::read()
+{
+    m_socket.async_read_some(
+        boost::asio::buffer(m_input),
+        [self = shared_from_this()](
+            boost::system::error_code error, std::size_t length)
+        {
+            if (error || self->m_closed || !self->feed(length))
+            {
+                self->close();
+                return;
+            }
+            self->flush();
+            self->read();
+        });
+}
+
+/// False if the remote end broke the protocol.
+bool http2_connection::feed(std::size_t length)
+{
+    m_totals->m_received += length;
+    m_last_received = runtime_clock::now();
+    on_bytes_received();
+    ssize_t const used =
+        nghttp2_session_mem_recv(m_session, m_input.data(), length);
+    return used == static_cast<ssize_t>(length);
+}
+
+void http2_connection::flush()
+{
+    if (!m_started || m_writing || m_closed)
+    {
+        return;
+    }
+    if (!collect_output())
+    {
+        close();
+        return;
+    }
+    if (!m_output.empty())
+    {
+        write();
+        return;
+    }
+    bool const over = nghttp2_session_want_read(m_session) == 0 &&
+                      nghttp2_session_want_write(m_session) == 0;
+    if (over)
+    {
+        close();
+    }
+}
+
+/// Collects frames up to a chunk, so that a large message doesn't hold its
+/// encoded copy in memory.
+bool http2_connection::collect_output()
+{
+    m_output.clear();
+    while (m_output.size() < write_chunk_bytes)
+    {
+        std::uint8_t const* data = nullptr;
+        ssize_t const length = nghttp2_session_mem_send(m_session, &data);
+        if (length < 0)
+        {
+            return false;
+        }
+        if (length == 0)
+        {
+            return true;
+        }
+        m_output += to_text(data, static_cast<std::size_t>(length));
+    }
+    return true;
+}
+
+void http2_connection::write()
+{
+    m_writing = true;
+    boost::asio::async_write(
+        m_socket,
+        boost::asio::buffer(m_output),
+        [self = shared_from_this()](
+            boost::system::error_code error, std::size_t length)
+        {
+            self->m_writing = false;
+            self->m_totals->m_sent += length;
+            if (error)
+            {
+                self->close();
+                return;
+            }
+            self->flush();
+        });
+}
+
+void http2_connection::close()
+{
+    if (m_closed)
+    {
+        return;
+    }
+    m_closed = true;
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+    auto streams = std::exchange(m_streams, {});
+    for (auto& [id, stream] : streams)
+    {
+        on_stream_closed(id, stream);
+    }
+}
+
+bool http2_connection::append_body(std::int32_t id, std::string_view data)
+{
+    auto const found = m_streams.find(id);
+    if (found == m_streams.end())
+    {
+        return true;
+    }
+    std::string& received = found->second.m_received;
+    if (received.size() + data.size() > m_max_message_bytes)
+    {
+        found->second.m_too_large = true;
+        received = {};
+    }
+    if (found->second.m_too_large)
+    {
+        return false;
+    }
+    received += data;
+    return true;
+}
+
+void http2_connection::finish_message(std::int32_t id)
+{
+    auto const found = m_streams.find(id);
+    if (found == m_streams.end() || found->second.m_complete ||
+        found->second.m_too_large)
+    {
+        return;
+    }
+    found->second.m_complete = true;
+    on_message(id, found->second);
+}
+
+std::int32_t http2_connection::submit_request(
+    std::vector<http2_field> const& fields, std::string body)
+{
+    nghttp2_data_provider provider{};
+    provider.read_callback = callbacks::body;
+    auto const head = to_nvs(fields);
+    std::int32_t const id = nghttp2_submit_request(
+        m_session, nullptr, head.data(), head.size(), &provider, nullptr);
+    if (id >= 0)
+    {
+        m_streams[id].m_to_send = std::move(body);
+    }
+    return id;
+}
+
+void http2_connection::submit_response(
+    std::int32_t id, std::vector<http2_field> const& fields, std::string body)
+{
+    auto const found = m_streams.find(id);
+    if (found == m_streams.end())
+    {
+        return;
+    }
+    found->second.m_to_send = std::move(body);
+    found->second.m_received = {};
+    nghttp2_data_provider provider{};
+    provider.read_callback = callbacks::body;
+    auto const head = to_nvs(fields);
+    nghttp2_submit_response(m_session, id, head.data(), head.size(), &provider);
+}
+
+void http2_connection::reset_stream(std::int32_t id, std::uint32_t error_code)
+{
+    nghttp2_submit_rst_stream(m_session, NGHTTP2_FLAG_NONE, id, error_code);
+}
+
+} // namespace briarhub::detail
--- /dev/null
+++ b/src/http2_connection.hpp
@@ -0,0 +1,142 @@
+#ifndef BRIARHUB_HTTP2_CONNECTION_HPP
+#define BRIARHUB_HTTP2_CONNECTION_HPP
+
+/// One cleartext HTTP/2 connection with prior knowledge: moves bytes between
+/// a socket and an nghttp2 session and collects whole messages.
+
+#include "clock.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <nghttp2/nghttp2.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace briarhub::detail
+{
+
+/// Bytes of all connections of one server or client. Connections may outlive
+/// their owner until their last handler ran, hence the shared ownership.
+struct byte_totals
+{
+    std::uint64_t m_sent = 0;
+    std::uint64_t m_received = 0;
+};
+
+enum class http2_role
+{
+    client,
+    server
+};
+
+struct http2_stream
+{
+    std::string m_method;
+    std::string m_path;
+    unsigned m_status = 0;
+    std::string m_received;
+    bool m_complete = false;  ///< the remote end sent its whole message
+    bool m_too_large = false; ///< the rest of the message is ignored
+    std::string m_to_send;
+    std::size_t m_sent = 0;
+};
+
+/// A name and a value of an HTTP/2 header field.
+using http2_field = std::pair<std::string_view, std::string_view>;
+
+class http2_connection : public std::enable_shared_from_this<http2_connection>
+{
+public:
+    http2_connection(
+        boost::asio::ip::tcp::socket socket,
+        http2_role role,
+        std::size_t max_message_bytes,
+        std::shared_ptr<byte_totals> totals);
+    virtual ~http2_connection();
+    http2_connection(http2_connection const&) = delete;
+    http2_connection& operator=(http2_connection const&) = delete;
+
+    /// Starts to read and write; the socket is connected.
+    void start();
+
+    /// Writes what the session has to send.
+    void flush();
+
+    /// Fails all streams and closes the socket.
+    void close();
+
+    [[nodiscard]] bool is_closed() const
+    {
+        return m_closed;
+    }
+
+    /// The time of the last byte received, or of the construction.
+    [[nodiscard]] time_point last_received() const
+    {
+        return m_last_received;
+    }
+
+protected:
+    /// The remote end's message on this stream is complete.
+    virtual void on_message(std::int32_t id, http2_stream& stream) = 0;
+
+    /// The stream ended, with or without a complete message.
+    virtual void on_stream_closed(std::int32_t id, http2_stream& stream) = 0;
+
+    virtual void on_bytes_received()
+    {
+    }
+
+    /// Starts a stream as client; negative when the session refuses it.
+    std::int32_t
+    submit_request(std::vector<http2_field> const& fields, std::string body);
+
+    /// Answers a stream as server.
+    void submit_response(
+        std::int32_t id,
+        std::vector<http2_field> const& fields,
+        std::string body);
+
+    void reset_stream(std::int32_t id, std::uint32_t error_code);
+
+    boost::asio::ip::tcp::socket m_socket;
+
+private:
+    /// Entry points of nghttp2, which passes the connection as user data.
+    struct callbacks;
+
+    void read();
+    void write();
+    bool collect_output();
+    bool feed(std::size_t length);
+    bool append_body(std::int32_t id, std::string_view data);
+    void finish_message(std::int32_t id);
+    void send_settings();
+
+    static constexpr std::size_t read_buffer_bytes = 64 * 1024;
+    static constexpr std::size_t write_chunk_bytes = 256 * 1024;
+
+    http2_role m_role;
+    std::size_t m_max_message_bytes;
+    std::shared_ptr<byte_totals> m_totals;
+    nghttp2_session* m_session = nullptr;
+    std::map<std::int32_t, http2_stream> m_streams;
+    std::array<std::uint8_t, read_buffer_bytes> m_input{};
+    std::string m_output;
+    bool m_started = false;
+    bool m_writing = false;
+    bool m_closed = false;
+    time_point m_last_received = runtime_clock::now();
+};
+
+} // namespace briarhub::detail
+
+#endif
--- /dev/null
+++ b/src/peer_link.cpp
@@ -0,0 +1,547 @@
+#include "peer_link.hpp"
+
+#include "http2_connection.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <map>
+#include <stdexcept>
+
+namespace briarhub
+{
+namespace
+{
+
+using boost::asio::ip::tcp;
+using detail::byte_totals;
+using detail::http2_connection;
+using detail::http2_role;
+using detail::http2_stream;
+
+/// Peers' connections beyond this are closed at once.
+constexpr std::size_t max_server_connections = 2048;
+
+/// A peer closes its own idle connections earlier; this removes the ones
+/// whose peer is gone without a reset.
+constexpr std::chrono::minutes server_idle_limit{3};
+constexpr std::chrono::seconds server_sweep_interval{30};
+
+/// Requests that time out in a row without any byte received before the
+/// connection is given up: TCP alone keeps one into a partition for minutes.
+constexpr unsigned max_silent_timeouts = 2;
+
+class server_connection final : public http2_connection
+{
+public:
+    server_connection(
+        tcp::socket socket,
+        peer_handler const& handler,
+        std::size_t max_message_bytes,
+        std::shared_ptr<byte_totals> totals)
+        : http2_connection(
+              std::move(socket),
+              http2_role::server,
+              max_message_bytes,
+              std::move(totals)),
+          m_handler(handler)
+    {
+    }
+
+    void answer(std::int32_t id, std::optional<std::string> body)
+    {
+        if (is_closed())
+        {
+            return;
+        }
+        if (body)
+        {
+            submit_response(id, {{":status", "200"}}, std::move(*body));
+        }
+        else
+        {
+            submit_response(id, {{":status", "400"}}, {});
+        }
+        if (!m_in_callback)
+        {
+            flush();
+        }
+    }
+
+private:
+    void on_message(std::int32_t id, http2_stream& stream) override
+    {
+        // nghttp2 must not be asked for output inside its own callback; the
+        // reader flushes after it.
+        m_in_callback = true;
+        if (stream.m_method == "POST")
+        {
+            std::weak_ptr const weak{
+                std::static_pointer_cast<server_connection>(
+                    shared_from_this())};
+            m_handler(
+                stream.m_path,
+                stream.m_received,
+                [weak, id](std::optional<std::string> body)
+                {
+                    if (auto const self = weak.lock())
+                    {
+                        self->answer(id, std::move(body));
+                    }
+                });
+        }
+        else
+        {
+            answer(id, std::nullopt);
+        }
+        m_in_callback = false;
+    }
+
+    void
+    on_stream_closed(std::int32_t /*id*/, http2_stream& /*stream*/) override
+    {
+    }
+
+    peer_handler m_handler;
+    bool m_in_callback = false;
+};
+
+/// A request whose answer is awaited. Shared by the waiting coroutine and the
+/// connection, either of which may end first.
+struct pending_request
+{
+    explicit pending_request(boost::asio::io_context& io) : m_deadline(io)
+    {
+    }
+
+    void finish(std::variant<std::string, result_code> result)
+    {
+        if (!m_result)
+        {
+            m_result = std::move(result);
+            m_deadline.cancel();
+        }
+    }
+
+    timer m_deadline;
+    std::optional<std::variant<std::string, result_code>> m_result;
+};
+
+class client_connection final : public http2_connection
+{
+public:
+    client_connection(
+        boost::asio::io_context& io,
+        tcp::endpoint peer,
+        std::size_t max_message_bytes,
+        std::shared_ptr<byte_totals> totals)
+        : http2_connection(
+              tcp::socket{io},
+              http2_role::client,
+              max_message_bytes,
+              std::move(totals)),
+          m_peer(peer)
+    {
+    }
+
+    /// Requests may be sent before the connection is established.
+    void connect()
+    {
+        m_socket.async_connect(
+            m_peer,
+            [self = std::static_pointer_cast<client_connection>(
+                 shared_from_this())](boost::system::error_code error)
+            {
+                if (error || self->is_closed())
+                {
+                    self->close();
+                    return;
+                }
+                self->start();
+            });
+    }
+
+    /// Negative if the connection takes no more streams.
+    std::int32_t send(
+        std::string_view path,
+        std::string message,
+        std::shared_ptr<pending_request> pending)
+    {
+        std::int32_t const id = submit_request(
+            {{":method", "POST"},
+             {":scheme", "http"},
+             {":authority", "peer"},
+             {":path", path}},
+            std::move(message));
+        if (id < 0)
+        {
+            // The stream ids of this connection are used up.
+            close();
+            return id;
+        }
+        m_pending.emplace(id, std::move(pending));
+        m_last_used = runtime_clock::now();
+        flush();
+        return id;
+    }
+
+    /// The request timed out: resets its stream, and gives the connection up
+    /// if it stays silent.
+    void timed_out(std::int32_t id, time_point sent_at)
+    {
+        m_pending.erase(id);
+        if (is_closed())
+        {
+            return;
+        }
+        if (!m_received_at || *m_received_at < sent_at)
+        {
+            ++m_silent_timeouts;
+        }
+        if (m_silent_timeouts >= max_silent_timeouts)
+        {
+            close();
+            return;
+        }
+        reset_stream(id, NGHTTP2_CANCEL);
+        flush();
+    }
+
+    [[nodiscard]] bool is_idle(time_point now, duration idle) const
+    {
+        return m_pending.empty() && now - m_last_used >= idle;
+    }
+
+private:
+    void on_message(std::int32_t id, http2_stream& stream) override
+    {
+        auto node = m_pending.extract(id);
+        if (node.empty())
+        {
+            return;
+        }
+        if (stream.m_status == 200)
+        {
+            node.mapped()->finish(std::move(stream.m_received));
+        }
+        else
+        {
+            node.mapped()->finish(result_code::peer_message_invalid);
+        }
+    }
+
+    void on_stream_closed(std::int32_t id, http2_stream& stream) override
+    {
+        auto node = m_pending.extract(id);
+        if (!node.empty() && !stream.m_complete)
+        {
+            node.mapped()->finish(result_code::peer_unreachable);
+        }
+    }
+
+    void on_bytes_received() override
+    {
+        m_received_at = runtime_clock::now();
+        m_silent_timeouts = 0;
+    }
+
+    tcp::endpoint m_peer;
+    std::map<std::int32_t, std::shared_ptr<pending_request>> m_pending;
+    std::optional<time_point> m_received_at;
+    unsigned m_silent_timeouts = 0;
+    time_point m_last_used = runtime_clock::now();
+};
+
+tcp::endpoint endpoint_or_throw(endpoint_address const& address)
+{
+    auto const endpoint = parse_endpoint(address);
+    if (!endpoint)
+    {
+        throw std::invalid_argument("malformed address: " + address);
+    }
+    return *endpoint;
+}
+
+} // namespace
+
+std::optional<tcp::endpoint> parse_endpoint(endpoint_address const& address)
+{
+    std::size_t const colon = address.rfind(':');
+    if (colon == std::string::npos)
+    {
+        return std::nullopt;
+    }
+    std::string host = address.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+    {
+        host = host.substr(1, host.size() - 2);
+    }
+    std::uint16_t port = 0;
+    char const* const end = address.data() + address.size();
+    auto const parsed = std::from_chars(address.data() + colon + 1, end, port);
+    boost::system::error_code error;
+    auto const ip = boost::asio::ip::make_address(host, error);
+    if (error || parsed.ec != std::errc{} || parsed.ptr != end)
+    {
+        return std::nullopt;
+    }
+    return tcp::endpoint{ip, port};
+}
+
+struct peer_server::implementation
+{
+    implementation(
+        boost::asio::io_context& io,
+        endpoint_address const& listen,
+        peer_handler handler,
+        std::size_t max_message_bytes)
+        : m_acceptor(io, endpoint_or_throw(listen)), m_sweep_timer(io),
+          m_handler(std::move(handler)), m_max_message_bytes(max_message_bytes)
+    {
+        accept();
+        schedule_sweep();
+    }
+
+    void accept()
+    {
+        m_acceptor.async_accept(
+            [this, alive = std::weak_ptr<bool>{m_alive}](
+                boost::system::error_code error, tcp::socket socket)
+            {
+                if (alive.expired() || !m_acceptor.is_open())
+                {
+                    return;
+                }
+                if (!error)
+                {
+                    add(std::move(socket));
+                }
+                accept();
+            });
+    }
+
+    void add(tcp::socket socket)
+    {
+        if (m_connections.size() >= max_server_connections)
+        {
+            forget_closed();
+        }
+        if (m_connections.size() >= max_server_connections)
+        {
+            return;
+        }
+        auto connection = std::make_shared<server_connection>(
+            std::move(socket), m_handler, m_max_message_bytes, m_totals);
+        m_connections.push_back(connection);
+        connection->start();
+    }
+
+    void forget_closed()
+    {
+        std::erase_if(
+            m_connections,
+            [](auto const& weak)
+            {
+                auto const connection = weak.lock();
+                return !connection || connection->is_closed();
+            });
+    }
+
+    void schedule_sweep()
+    {
+        m_sweep_timer.expires_after(server_sweep_interval);
+        m_sweep_timer.async_wait(
+            [this, alive = std::weak_ptr<bool>{m_alive}](
+                boost::system::error_code error)
+            {
+                if (!error && !alive.expired() && m_acceptor.is_open())
+                {
+                    sweep();
+                    schedule_sweep();
+                }
+            });
+    }
+
+    void sweep()
+    {
+        time_point const now = runtime_clock::now();
+        for (auto const& weak : m_connections)
+        {
+            auto const connection = weak.lock();
+            if (connection &&
+                now - connection->last_received() > server_idle_limit)
+            {
+                connection->close();
+            }
+        }
+        forget_closed();
+    }
+
+    void stop()
+    {
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+        m_sweep_timer.cancel();
+        for (auto const& weak : m_connections)
+        {
+            if (auto const connection = weak.lock())
+            {
+                connection->close();
+            }
+        }
+        m_connections.clear();
+    }
+
+    tcp::acceptor m_acceptor;
+    timer m_sweep_timer;
+    peer_handler m_handler;
+    std::size_t m_max_message_bytes;
+    std::shared_ptr<byte_totals> m_totals = std::make_shared<byte_totals>();
+    std::vector<std::weak_ptr<server_connection>> m_connections;
+    /// Tells a queued handler whether the server still exists.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+peer_server::peer_server(
+    boost::asio::io_context& io,
+    endpoint_address const& listen,
+    peer_handler handler,
+    std::size_t max_message_bytes)
+    : m_implementation(std::make_unique<implementation>(
+          io, listen, std::move(handler), max_message_bytes))
+{
+}
+
+peer_server::~peer_server()
+{
+    stop();
+}
+
+std::uint16_t peer_server::port() const
+{
+    return m_implementation->m_acceptor.local_endpoint().port();
+}
+
+peer_byte_totals peer_server::totals() const
+{
+    byte_totals const& bytes = *m_implementation->m_totals;
+    return {bytes.m_sent, bytes.m_received};
+}
+
+void peer_server::stop()
+{
+    m_implementation->stop();
+}
+
+struct peer_client::implementation
+{
+    using connection_ptr = std::shared_ptr<client_connection>;
+
+    implementation(boost::asio::io_context& io, std::size_t max_message_bytes)
+        : m_io(io), m_max_message_bytes(max_message_bytes)
+    {
+    }
+
+    ~implementation()
+    {
+        for (auto const& [address, connection] : m_connections)
+        {
+            connection->close();
+        }
+    }
+
+    /// The open connection to a peer, made anew if it broke.
+    connection_ptr
+    connection_to(endpoint_address const& address, tcp::endpoint const& peer)
+    {
+        connection_ptr& slot = m_connections[address];
+        if (!slot || slot->is_closed())
+        {
+            slot = std::make_shared<client_connection>(
+                m_io, peer, m_max_message_bytes, m_totals);
+            slot->connect();
+        }
+        return slot;
+    }
+
+    boost::asio::io_context& m_io;
+    std::size_t m_max_message_bytes;
+    std::shared_ptr<byte_totals> m_totals = std::make_shared<byte_totals>();
+    std::uint64_t m_requests = 0;
+    std::map<endpoint_address, connection_ptr> m_connections;
+};
+
+peer_client::peer_client(
+    boost::asio::io_context& io, std::size_t max_message_bytes)
+    : m_implementation(std::make_unique<implementation>(io, max_message_bytes))
+{
+}
+
+peer_client::~peer_client() = default;
+
+// After the wait the client may be gone, so only the connection and the
+// pending request are used then.
+boost::asio::awaitable<std::variant<std::string, result_code>>
+peer_client::request(
+    endpoint_address peer,
+    std::string path,
+    std::string message,
+    std::chrono::milliseconds timeout)
+{
+    auto const endpoint = parse_endpoint(peer);
+    if (!endpoint)
+    {
+        co_return result_code::peer_unreachable;
+    }
+    if (message.size() > m_implementation->m_max_message_bytes)
+    {
+        co_return result_code::peer_message_invalid;
+    }
+    ++m_implementation->m_requests;
+    auto const connection = m_implementation->connection_to(peer, *endpoint);
+    auto const pending =
+        std::make_shared<pending_request>(m_implementation->m_io);
+    time_point const sent_at = runtime_clock::now();
+    std::int32_t const id = connection->send(path, std::move(message), pending);
+    if (id < 0)
+    {
+        co_return result_code::peer_unreachable;
+    }
+    if (!pending->m_result)
+    {
+        pending->m_deadline.expires_at(sent_at + timeout);
+        co_await pending->m_deadline.async_wait(
+            boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
+    if (!pending->m_result)
+    {
+        connection->timed_out(id, sent_at);
+        co_return result_code::peer_unreachable;
+    }
+    co_return std::move(*pending->m_result);
+}
+
+void peer_client::close_idle(time_point now, duration idle)
+{
+    std::erase_if(
+        m_implementation->m_connections,
+        [&](auto const& entry)
+        {
+            if (entry.second->is_idle(now, idle))
+            {
+                entry.second->close();
+            }
+            return entry.second->is_closed();
+        });
+}
+
+peer_client::traffic_totals peer_client::totals() const
+{
+    byte_totals const& bytes = *m_implementation->m_totals;
+    return {bytes.m_sent, bytes.m_received, m_implementation->m_requests};
+}
+
+} // namespace briarhub
--- a/src/peer_link.hpp
+++ b/src/peer_link.hpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -25,24 +26,43 @@
 /// Larger messages are refused on both sides.
 inline constexpr std::size_t max_peer_message_bytes = 64 * 1024 * 1024;
 
-/// Answers a request: gets the path and the serialized message, returns the
-/// serialized answer, or nullopt for an unknown path or a bad message.
-using peer_handler = std::function<std::optional<std::string>(
-    std::string_view path, std::string_view message)>;
+/// Sends the serialized answer of a request, or refuses the request if there
+/// is none. Called at most once, on the thread of the server; an answer to a
+/// connection that is gone has no effect.
+using peer_responder = std::function<void(std::optional<std::string> answer)>;
+
+/// Answers a request, at once or later; gets the path and the serialized
+/// message. An unknown path or a bad message is refused with nullopt.
+using peer_handler = std::function<void(
+    std::string_view path, std::string_view message, peer_responder respond)>;
+
+/// Splits "ip:port" or "[ip]:port"; nullopt if it is malformed.
+std::optional<boost::asio::ip::tcp::endpoint>
+parse_endpoint(endpoint_address const& address);
+
+struct peer_byte_totals
+{
+    std::uint64_t m_sent = 0;
+    std::uint64_t m_received = 0;
+};
 
 /// Accepts peers' connections and answers their requests.
 class peer_server
 {
 public:
+    /// Binds the port at once; throws boost::system::system_error, or
+    /// std::invalid_argument for a malformed address.
     peer_server(
         boost::asio::io_context& io,
         endpoint_address const& listen,
-        peer_handler handler);
+        peer_handler handler,
+        std::size_t max_message_bytes = max_peer_message_bytes);
     ~peer_server();
     peer_server(peer_server const&) = delete;
     peer_server& operator=(peer_server const&) = delete;
 
     [[nodiscard]] std::uint16_t port() const;
+    [[nodiscard]] peer_byte_totals totals() const;
     void stop();
 
 private:
@@ -54,12 +74,16 @@
 class peer_client
 {
 public:
-    explicit peer_client(boost::asio::io_context& io);
+    explicit peer_client(
+        boost::asio::io_context& io,
+        std::size_t max_message_bytes = max_peer_message_bytes);
     ~peer_client();
     peer_client(peer_client const&) = delete;
     peer_client& operator=(peer_client const&) = delete;
 
-    /// The serialized answer, or `peer_unreachable` after `timeout`.
+    /// The serialized answer; `peer_unreachable` after `timeout` or if the
+    /// connection broke; `peer_message_invalid` if the peer refused the
+    /// message or it is too large.
     boost::asio::awaitable<std::variant<std::string, result_code>> request(
         endpoint_address peer,
         std::string path,
