--- /dev/null
+++ b/src/peer_messages.cpp
@@ -0,0 +1,346 @@
+#include "peer_messages.hpp"
+
+#include "peer.pb.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace briarhub
+{
+namespace
+{
+
+/// Tokens in one message; far above any account's burst.
+constexpr double max_loan_tokens = 1e9;
+
+constexpr std::chrono::minutes max_loan_duration{10};
+
+bool is_name(std::string const& text)
+{
+    return !text.empty() && text.size() <= max_message_name_bytes;
+}
+
+bool is_fraction(double value)
+{
+    return std::isfinite(value) && value >= 0.0 && value <= 1.0;
+}
+
+bool is_token_count(double value)
+{
+    return std::isfinite(value) && value >= 0.0 && value <= max_loan_tokens;
+}
+
+void write(wire::Sender& to, peer_sender const& from)
+{
+    to.set_vm(from.m_vm);
+    to.set_incarnation(from.m_incarnation);
+    to.set_version(from.m_version);
+}
+
+std::optional<peer_sender> read(wire::Sender const& from)
+{
+    if (!is_name(from.vm()))
+    {
+        return std::nullopt;
+    }
+    return peer_sender{from.vm(), from.incarnation(), from.version()};
+}
+
+void write(wire::News& to, peer_news const& from)
+{
+    for (evidence const& item : from.m_evidence)
+    {
+        wire::Evidence& added = *to.add_evidence();
+        added.set_upstream(item.m_upstream);
+        added.set_good(item.m_good);
+        added.set_slow(item.m_slow);
+        added.set_error(item.m_error);
+        added.set_wrong(item.m_wrong);
+    }
+    for (suspect_request const& item : from.m_suspects)
+    {
+        wire::SuspectRequest& added = *to.add_suspects();
+        added.set_digest(item.m_digest);
+        added.set_crashes(item.m_crashes);
+    }
+}
+
+bool is_acceptable_count(int items)
+{
+    return static_cast<std::size_t>(items) <= max_message_items;
+}
+
+std::optional<peer_news> read(wire::News const& from)
+{
+    if (!is_acceptable_count(from.evidence_size()) ||
+        !is_acceptable_count(from.suspects_size()))
+    {
+        return std::nullopt;
+    }
+    peer_news news;
+    for (wire::Evidence const& item : from.evidence())
+    {
+        if (!is_name(item.upstream()))
+        {
+            return std::nullopt;
+        }
+        news.m_evidence.push_back(
+            {item.upstream(),
+             item.good(),
+             item.slow(),
+             item.error(),
+             item.wrong()});
+    }
+    for (wire::SuspectRequest const& item : from.suspects())
+    {
+        if (!is_name(item.digest()))
+        {
+            return std::nullopt;
+        }
+        news.m_suspects.push_back({item.digest(), item.crashes()});
+    }
+    return news;
+}
+
+template <class Wire>
+std::string serialize_probe(probe_message const& message)
+{
+    Wire wire;
+    write(*wire.mutable_sender(), message.m_sender);
+    write(*wire.mutable_news(), message.m_news);
+    for (vm_id const& vm : message.m_silent)
+    {
+        wire.add_silent(vm);
+    }
+    return wire.SerializeAsString();
+}
+
+/// Parses the protobuf message only.
+template <class Wire>
+std::optional<Wire> parse_wire(std::string_view text)
+{
+    constexpr auto limit =
+        static_cast<std::size_t>(std::numeric_limits<int>::max());
+    Wire wire;
+    if (text.size() > limit ||
+        !wire.ParseFromArray(text.data(), static_cast<int>(text.size())))
+    {
+        return std::nullopt;
+    }
+    return wire;
+}
+
+template <class Wire>
+std::optional<probe_message> parse_probe_as(std::string_view text)
+{
+    auto const wire = parse_wire<Wire>(text);
+    if (!wire || !is_acceptable_count(wire->silent_size()))
+    {
+        return std::nullopt;
+    }
+    auto sender = read(wire->sender());
+    auto news = read(wire->news());
+    bool const names_are_valid = std::ranges::all_of(wire->silent(), is_name);
+    if (!sender || !news || !names_are_valid)
+    {
+        return std::nullopt;
+    }
+    return probe_message{
+        std::move(*sender),
+        std::move(*news),
+        {wire->silent().begin(), wire->silent().end()}};
+}
+
+/// Offsets must rise, as the fold requires.
+std::optional<std::vector<log_record>> read_records(wire::RecordsReply& from)
+{
+    std::vector<log_record> records;
+    records.reserve(static_cast<std::size_t>(from.records_size()));
+    for (wire::Record& record : *from.mutable_records())
+    {
+        if (!records.empty() && records.back().m_offset >= record.offset())
+        {
+            return std::nullopt;
+        }
+        wall_time const at{std::chrono::milliseconds{record.at_ms()}};
+        records.push_back(
+            {record.offset(), at, std::move(*record.mutable_data())});
+    }
+    return records;
+}
+
+} // namespace
+
+std::string serialize(probe_message const& message)
+{
+    return serialize_probe<wire::Probe>(message);
+}
+
+std::string serialize_reply(probe_message const& message)
+{
+    return serialize_probe<wire::ProbeReply>(message);
+}
+
+std::string serialize(records_request const& message)
+{
+    wire::RecordsRequest wire;
+    write(*wire.mutable_sender(), message.m_sender);
+    wire.set_has_state(message.m_after.has_value());
+    wire.set_after_offset(message.m_after.value_or(0));
+    return wire.SerializeAsString();
+}
+
+std::string serialize(records_reply const& message)
+{
+    wire::RecordsReply wire;
+    write(*wire.mutable_sender(), message.m_sender);
+    for (log_record const& record : message.m_records)
+    {
+        wire::Record& added = *wire.add_records();
+        added.set_offset(record.m_offset);
+        added.set_at_ms(record.m_appended_at.time_since_epoch().count());
+        added.set_data(record.m_data);
+    }
+    wire.set_snapshot(message.m_snapshot.value_or(""));
+    return wire.SerializeAsString();
+}
+
+std::string serialize(sent_loan_message<loan_request> const& message)
+{
+    wire::LoanRequest wire;
+    write(*wire.mutable_sender(), message.m_sender);
+    wire.set_account(message.m_content.m_account);
+    wire.set_request_id(message.m_content.m_request_id);
+    wire.set_fraction(message.m_content.m_fraction);
+    wire.set_tokens(message.m_content.m_tokens);
+    return wire.SerializeAsString();
+}
+
+std::string serialize(sent_loan_message<loan_return> const& message)
+{
+    wire::LoanReturn wire;
+    write(*wire.mutable_sender(), message.m_sender);
+    wire.set_account(message.m_content.m_account);
+    wire.set_loan_id(message.m_content.m_loan_id);
+    wire.set_fraction(message.m_content.m_fraction);
+    wire.set_tokens(message.m_content.m_tokens);
+    return wire.SerializeAsString();
+}
+
+std::string serialize(loan_reply const& message)
+{
+    wire::LoanReply wire;
+    wire.set_request_id(message.m_request_id);
+    wire.set_account(message.m_account);
+    wire.set_loan_id(message.m_loan_id);
+    wire.set_fraction(message.m_fraction);
+    wire.set_tokens(message.m_tokens);
+    wire.set_duration_ms(
+        static_cast<std::uint32_t>(message.m_duration.count()));
+    return wire.SerializeAsString();
+}
+
+std::optional<probe_message> parse_probe(std::string_view text)
+{
+    return parse_probe_as<wire::Probe>(text);
+}
+
+std::optional<probe_message> parse_probe_reply(std::string_view text)
+{
+    return parse_probe_as<wire::ProbeReply>(text);
+}
+
+std::optional<records_request> parse_records_request(std::string_view text)
+{
+    auto const wire = parse_wire<wire::RecordsRequest>(text);
+    auto sender = wire ? read(wire->sender()) : std::nullopt;
+    if (!sender)
+    {
+        return std::nullopt;
+    }
+    records_request request{std::move(*sender), std::nullopt};
+    if (wire->has_state())
+    {
+        request.m_after = wire->after_offset();
+    }
+    return request;
+}
+
+std::optional<records_reply> parse_records_reply(std::string_view text)
+{
+    auto wire = parse_wire<wire::RecordsReply>(text);
+    auto sender = wire ? read(wire->sender()) : std::nullopt;
+    if (!sender)
+    {
+        return std::nullopt;
+    }
+    auto records = read_records(*wire);
+    if (!records)
+    {
+        return std::nullopt;
+    }
+    records_reply reply{std::move(*sender), std::move(*records), std::nullopt};
+    if (!wire->snapshot().empty())
+    {
+        reply.m_snapshot = std::move(*wire->mutable_snapshot());
+    }
+    return reply;
+}
+
+std::optional<sent_loan_message<loan_request>>
+parse_loan_request(std::string_view text)
+{
+    auto const wire = parse_wire<wire::LoanRequest>(text);
+    auto sender = wire ? read(wire->sender()) : std::nullopt;
+    if (!sender || !is_name(wire->account()) ||
+        !is_fraction(wire->fraction()) || !is_token_count(wire->tokens()))
+    {
+        return std::nullopt;
+    }
+    return sent_loan_message<loan_request>{
+        std::move(*sender),
+        {wire->account(),
+         wire->request_id(),
+         wire->fraction(),
+         wire->tokens()}};
+}
+
+std::optional<sent_loan_message<loan_return>>
+parse_loan_return(std::string_view text)
+{
+    auto const wire = parse_wire<wire::LoanReturn>(text);
+    auto sender = wire ? read(wire->sender()) : std::nullopt;
+    if (!sender || !is_name(wire->account()) ||
+        !is_fraction(wire->fraction()) || !is_token_count(wire->tokens()))
+    {
+        return std::nullopt;
+    }
+    return sent_loan_message<loan_return>{
+        std::move(*sender),
+        {wire->account(), wire->loan_id(), wire->fraction(), wire->tokens()}};
+}
+
+std::optional<loan_reply> parse_loan_reply(std::string_view text)
+{
+    auto const wire = parse_wire<wire::LoanReply>(text);
+    if (!wire || !is_name(wire->account()) || !is_fraction(wire->fraction()) ||
+        !is_token_count(wire->tokens()))
+    {
+        return std::nullopt;
+    }
+    std::chrono::milliseconds const lasts{wire->duration_ms()};
+    if (lasts > max_loan_duration)
+    {
+        return std::nullopt;
+    }
+    return loan_reply{
+        wire->account(),
+        wire->request_id(),
+        wire->loan_id(),
+        wire->fraction(),
+        wire->tokens(),
+        lasts};
+}
+
+} // namespace briarhub
