--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -2,6 +2,8 @@
 
 #include "peer.pb.h"
 
+#include <google/protobuf/stubs/logging.h>
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -116,12 +118,21 @@
     return wire.SerializeAsString();
 }
 
+/// Silences protobuf's own log, which writes a line to standard error for each
+/// string that is not UTF-8; such messages are refused and counted instead.
+void silence_protobuf_log()
+{
+    static auto const previous = google::protobuf::SetLogHandler(nullptr);
+    static_cast<void>(previous);
+}
+
 /// Parses the protobuf message only.
 template <class Wire>
 std::optional<Wire> parse_wire(std::string_view text)
 {
     constexpr auto limit =
         static_cast<std::size_t>(std::numeric_limits<int>::max());
+    silence_protobuf_log();
     Wire wire;
     if (text.size() > limit ||
         !wire.ParseFromArray(text.data(), static_cast<int>(text.size())))
