--- /dev/null
+++ b/src/claims_pump.cpp
@@ -0,0 +1,286 @@
+#include "claims_pump.hpp"
+
+#include "claim_key.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace briarhub
+{
+namespace
+{
+
+/// Without a waiting decision the stream is read this often.
+constexpr std::chrono::seconds read_interval{1};
+
+/// A read waits at most this long for a record that a decision needs.
+constexpr std::chrono::milliseconds read_wait{300};
+
+/// Between reads that brought nothing, and after a failed operation.
+constexpr std::chrono::milliseconds empty_read_pause{20};
+constexpr std::chrono::milliseconds retry_interval{200};
+
+constexpr std::size_t read_limit = 1000;
+
+/// Claims are forgotten this share of the retention before the log does.
+constexpr int expiry_margin_divisor = 10;
+
+/// The traffic thread's copy of the covered time may lag this much; the writer
+/// checks the exact one.
+constexpr std::chrono::seconds covered_step{10};
+
+/// Deadlines of undecided claims are checked at least this often.
+constexpr std::chrono::seconds longest_sleep{1};
+constexpr std::chrono::milliseconds shortest_sleep{1};
+
+} // namespace
+
+claims_pump::claims_pump(
+    boost::asio::io_context& io,
+    settings const& options,
+    member const& self,
+    platform_access& platform,
+    traffic_outbox& outbox,
+    metrics_registry& metrics)
+    : m_options(options), m_self(self), m_platform(platform), m_outbox(outbox),
+      m_won(metrics.get_counter("briarhub_claims_total", {{"verdict", "won"}})),
+      m_finished(metrics.get_counter(
+          "briarhub_claims_total", {{"verdict", "finished"}})),
+      m_refused(metrics.get_counter(
+          "briarhub_claims_total", {{"verdict", "refused"}})),
+      m_wakeup(io), m_writer(self)
+{
+}
+
+void claims_pump::stop()
+{
+    m_stopped = true;
+    m_wakeup.notify();
+}
+
+void claims_pump::set_member_count(std::size_t count)
+{
+    m_writer.set_member_count(std::max<std::size_t>(count, 1));
+}
+
+void claims_pump::receive(claim_request&& message)
+{
+    m_writer.request(
+        runtime_clock::now(),
+        message.m_ticket,
+        std::move(message.m_name),
+        std::move(message.m_request_digest),
+        message.m_deadline);
+    decide();
+    m_wakeup.notify();
+}
+
+void claims_pump::receive(claim_cancel&& message)
+{
+    m_writer.cancel(message.m_ticket);
+}
+
+void claims_pump::receive(claim_outcome&& message)
+{
+    m_writer.record_outcome(std::move(message));
+    m_wakeup.notify();
+}
+
+void claims_pump::receive(claim_release&& message)
+{
+    m_writer.release(std::move(message));
+    m_wakeup.notify();
+}
+
+boost::asio::awaitable<void> claims_pump::run_reads()
+{
+    while (!m_stopped)
+    {
+        time_point const start = runtime_clock::now();
+        co_await read_once();
+        co_await wait_for_read(start);
+    }
+}
+
+boost::asio::awaitable<void> claims_pump::read_once()
+{
+    bool const is_needed = m_writer.needs_read(m_table);
+    auto const wait = is_needed ? read_wait : std::chrono::milliseconds::zero();
+    log_offset const from = m_table.next_offset();
+    auto const result =
+        co_await m_platform.read(claims_stream_name, from, read_limit, wait);
+    if (m_stopped)
+    {
+        co_return;
+    }
+    bool has_records = false;
+    if (auto const* const read = std::get_if<read_result>(&result))
+    {
+        has_records = !read->m_records.empty();
+        take(*read);
+    }
+    else
+    {
+        announce(false);
+    }
+    decide();
+    m_wakeup.notify();
+    if (!has_records)
+    {
+        time_point const now = runtime_clock::now();
+        co_await m_wakeup.wait_until(now + empty_read_pause);
+    }
+}
+
+/// Waits until a decision needs a read, or the interval has passed.
+boost::asio::awaitable<void> claims_pump::wait_for_read(time_point last_read)
+{
+    bool const is_down = !m_announced || !m_announced->m_available;
+    duration const interval =
+        is_down ? duration{retry_interval} : duration{read_interval};
+    time_point const next = last_read + interval;
+    while (!m_stopped && runtime_clock::now() < next &&
+           (is_down || !m_writer.needs_read(m_table)))
+    {
+        co_await m_wakeup.wait_until(next);
+    }
+}
+
+void claims_pump::take(read_result const& result)
+{
+    if (!m_has_started || m_table.next_offset() < result.m_first)
+    {
+        start_table(result);
+    }
+    for (log_record const& record : result.m_records)
+    {
+        m_table.fold(record);
+    }
+    auto const margin = m_options.m_log_retention / expiry_margin_divisor;
+    m_table.expire(wall_now() - (m_options.m_log_retention - margin));
+    bool const reached_end =
+        m_table.next_offset() >= result.m_next || result.m_records.empty();
+    announce(reached_end);
+}
+
+/// Claims before the first record that the log keeps are unknown. A key's time
+/// may be ahead of its claim's append by the tolerated skew.
+void claims_pump::start_table(read_result const& result)
+{
+    m_has_started = true;
+    m_table = claim_table{};
+    if (result.m_first == 0)
+    {
+        m_table.set_covered_since(wall_time{});
+        return;
+    }
+    wall_time const oldest = result.m_records.empty()
+                                 ? wall_now()
+                                 : result.m_records.front().m_appended_at;
+    m_table.set_covered_since(oldest + idempotency_key_skew);
+}
+
+void claims_pump::announce(bool is_available)
+{
+    claims_covered const covered{m_table.covered_since(), is_available};
+    bool const is_known = m_announced &&
+                          m_announced->m_available == is_available &&
+                          covered.m_since - m_announced->m_since < covered_step;
+    if (!is_known && m_outbox.send(claims_covered{covered}))
+    {
+        m_announced = covered;
+    }
+}
+
+boost::asio::awaitable<void> claims_pump::run_appends()
+{
+    while (!m_stopped)
+    {
+        decide();
+        bool const appended = co_await append_once();
+        if (m_stopped)
+        {
+            co_return;
+        }
+        if (appended)
+        {
+            continue;
+        }
+        time_point const now = runtime_clock::now();
+        time_point const next = std::clamp(
+            m_writer.next_poll(), now + shortest_sleep, now + longest_sleep);
+        co_await m_wakeup.wait_until(next);
+    }
+}
+
+boost::asio::awaitable<bool> claims_pump::append_once()
+{
+    time_point const now = runtime_clock::now();
+    if (now < m_retry_append_at)
+    {
+        co_return false;
+    }
+    auto record = m_writer.take_append(now);
+    if (!record)
+    {
+        co_return false;
+    }
+    m_is_appending = true;
+    auto const result =
+        co_await m_platform.append(claims_stream_name, std::move(*record));
+    m_is_appending = false;
+    if (m_stopped)
+    {
+        co_return true;
+    }
+    finish_append(result);
+    decide();
+    m_wakeup.notify();
+    co_return true;
+}
+
+void claims_pump::finish_append(platform_result<log_offset> const& result)
+{
+    time_point const now = runtime_clock::now();
+    if (auto const* const offset = std::get_if<log_offset>(&result))
+    {
+        m_writer.append_succeeded(now, *offset);
+        return;
+    }
+    m_retry_append_at = now + retry_interval;
+    auto const& error = std::get<platform_error>(result);
+    if (error.m_code == result_code::log_append_unknown)
+    {
+        m_writer.append_unknown(now);
+    }
+    else
+    {
+        m_writer.append_refused(now);
+    }
+}
+
+void claims_pump::decide()
+{
+    for (auto& decision : m_writer.poll(runtime_clock::now(), m_table))
+    {
+        claim_verdict const& verdict = decision.m_verdict;
+        counter& total = std::holds_alternative<claim_won>(verdict) ? m_won
+                         : std::holds_alternative<claim_finished>(verdict)
+                             ? m_finished
+                             : m_refused;
+        total.add();
+        m_outbox.send(std::move(decision));
+    }
+}
+
+boost::asio::awaitable<void> claims_pump::flush(time_point deadline)
+{
+    while (runtime_clock::now() < deadline && !m_writer.is_idle())
+    {
+        time_point const next = runtime_clock::now() + retry_interval;
+        co_await m_wakeup.wait_until(std::min(next, deadline));
+    }
+}
+
+} // namespace briarhub
--- /dev/null
+++ b/src/claims_pump.hpp
@@ -0,0 +1,90 @@
+#ifndef BRIARHUB_CLAIMS_PUMP_HPP
+#define BRIARHUB_CLAIMS_PUMP_HPP
+
+/// Follows the claims stream, appends the batches of the claim writer and
+/// passes its decisions to the traffic thread.
+
+#include "claim_table.hpp"
+#include "claim_writer.hpp"
+#include "metrics.hpp"
+#include "notifier.hpp"
+#include "platform_access.hpp"
+#include "settings.hpp"
+#include "thread_messages.hpp"
+#include "traffic_outbox.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <optional>
+#include <vector>
+
+namespace briarhub
+{
+
+inline constexpr char const* claims_stream_name = "claims-0";
+
+class claims_pump
+{
+public:
+    claims_pump(
+        boost::asio::io_context& io,
+        settings const& options,
+        member const& self,
+        platform_access& platform,
+        traffic_outbox& outbox,
+        metrics_registry& metrics);
+
+    /// Reads the stream until `stop`.
+    boost::asio::awaitable<void> run_reads();
+
+    /// Appends what the writer has to append until `stop`.
+    boost::asio::awaitable<void> run_appends();
+
+    /// Waits until everything is appended, at most until `deadline`.
+    boost::asio::awaitable<void> flush(time_point deadline);
+
+    void receive(claim_request&& message);
+    void receive(claim_cancel&& message);
+    void receive(claim_outcome&& message);
+    void receive(claim_release&& message);
+
+    void set_member_count(std::size_t count);
+
+    [[nodiscard]] claim_table const& table() const
+    {
+        return m_table;
+    }
+
+    void stop();
+
+private:
+    boost::asio::awaitable<void> read_once();
+    boost::asio::awaitable<void> wait_for_read(time_point last_read);
+    boost::asio::awaitable<bool> append_once();
+    void take(read_result const& result);
+    void start_table(read_result const& result);
+    void finish_append(platform_result<log_offset> const& result);
+    void decide();
+    void announce(bool is_available);
+
+    settings m_options;
+    member m_self;
+    platform_access& m_platform;
+    traffic_outbox& m_outbox;
+    counter& m_won;
+    counter& m_finished;
+    counter& m_refused;
+    notifier m_wakeup;
+    claim_table m_table;
+    claim_writer m_writer;
+    bool m_has_started = false;
+    bool m_stopped = false;
+    bool m_is_appending = false;
+    std::optional<claims_covered> m_announced;
+    time_point m_retry_append_at{};
+};
+
+} // namespace briarhub
+
+#endif
--- a/src/config.cpp
+++ b/src/config.cpp
@@ -68,9 +68,8 @@
 
 bool is_path_character(char c)
 {
-    return is_alphanumeric(c) ||
-           std::string_view{"/-._~!$&'()*+,;=:@"}.find(c) !=
-               std::string_view::npos;
+    return is_alphanumeric(c) || std::string_view{"/-._~!$&'()*+,;=:@"}.find(
+                                     c) != std::string_view::npos;
 }
 
 bool is_lower_hex(char c)
@@ -101,9 +100,7 @@
 public:
     field_reader(
         json::value const& value, std::string path, config_errors& errors)
-        : m_object{value.if_object()}
-        , m_path{std::move(path)}
-        , m_errors{errors}
+        : m_object{value.if_object()}, m_path{std::move(path)}, m_errors{errors}
     {
         if (m_object == nullptr)
         {
@@ -179,8 +176,8 @@
         target = milliseconds{value->get_int64()};
     }
 
-    void read(
-        std::string_view name, std::vector<std::string>& target, presence need)
+    void
+    read(std::string_view name, std::vector<std::string>& target, presence need)
     {
         json::value const* const value = find(name, need);
         if (value == nullptr)
@@ -412,8 +409,7 @@
 class validator
 {
 public:
-    explicit validator(config const& configuration)
-        : m_config{configuration}
+    explicit validator(config const& configuration) : m_config{configuration}
     {
     }
 
@@ -490,8 +486,8 @@
         check_accounts(path + ".accounts", work_class.m_accounts);
     }
 
-    void check_route(
-        std::string const& path, work_class_config const& work_class)
+    void
+    check_route(std::string const& path, work_class_config const& work_class)
     {
         require(
             std::ranges::find(methods, work_class.m_method) != methods.end(),
@@ -512,8 +508,8 @@
                 ", which has the same method");
     }
 
-    void check_targets(
-        std::string const& path, work_class_config const& work_class)
+    void
+    check_targets(std::string const& path, work_class_config const& work_class)
     {
         milliseconds const target = work_class.m_latency_target;
         milliseconds const deadline = work_class.m_deadline;
@@ -623,9 +619,7 @@
     using Functions::operator()...;
 };
 
-constexpr std::array<
-    std::string_view,
-    std::variant_size_v<config_operation>>
+constexpr std::array<std::string_view, std::variant_size_v<config_operation>>
     operation_names = {
         "put_service",
         "remove_service",
@@ -653,8 +647,7 @@
             },
             [&](put_work_class const& o)
             {
-                return named(
-                    o.m_work_class.m_name, to_object(o.m_work_class));
+                return named(o.m_work_class.m_name, to_object(o.m_work_class));
             },
             [&](put_account const& o)
             {
@@ -714,7 +707,10 @@
 }
 
 template <class Removal>
-    requires requires(Removal r) { r.m_name; }
+requires requires(Removal r)
+{
+    r.m_name;
+}
 void read_operation(field_reader& fields, Removal& operation)
 {
     fields.read("name", operation.m_name, required);
--- a/src/control.hpp
+++ b/src/control.hpp
@@ -11,6 +11,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -37,6 +38,8 @@
     void receive(control_message&& message);
     void receive(admin_query&& query);
 
+    [[nodiscard]] std::uint16_t peer_port() const;
+
     /// Graceful shutdown: stops the traffic thread, then appends the records
     /// that remain and `leave`; `done` is called at the end.
     void stop(std::function<void()> done);
--- /dev/null
+++ b/src/control_admin.hpp
@@ -0,0 +1,61 @@
+#ifndef BRIARHUB_CONTROL_ADMIN_HPP
+#define BRIARHUB_CONTROL_ADMIN_HPP
+
+/// Answers the admin thread's queries to the control thread.
+
+#include "admin_messages.hpp"
+#include "claims_pump.hpp"
+#include "control_stream.hpp"
+#include "fleet_state.hpp"
+#include "peer_exchange.hpp"
+#include "platform_access.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+
+namespace briarhub
+{
+
+/// A change that is not confirmed within this time is answered with
+/// `config_unconfirmed`.
+inline constexpr std::chrono::seconds confirmation_limit{4};
+
+class control_admin
+{
+public:
+    control_admin(
+        boost::asio::io_context& io,
+        fleet_state& fleet,
+        platform_access& platform,
+        control_stream& stream,
+        peer_exchange& peers,
+        claims_pump& claims);
+
+    void receive(admin_query&& query);
+
+private:
+    admin_reply members();
+    [[nodiscard]] admin_reply config_show() const;
+    [[nodiscard]] admin_reply change_lookup(std::string const& id) const;
+    [[nodiscard]] admin_reply in_doubt() const;
+    boost::asio::awaitable<void> config_apply(admin_query query);
+    boost::asio::awaitable<admin_reply> apply_change(change_record change);
+    boost::asio::awaitable<void>
+    wait_folded(std::string id, time_point deadline);
+    [[nodiscard]] change_result const* find_change(std::string const& id) const;
+    [[nodiscard]] admin_reply
+    describe_change(std::string const& id, change_result const& result) const;
+
+    boost::asio::io_context& m_io;
+    fleet_state& m_fleet;
+    platform_access& m_platform;
+    control_stream& m_stream;
+    peer_exchange& m_peers;
+    claims_pump& m_claims;
+};
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/control_stream.cpp
@@ -0,0 +1,254 @@
+#include "control_stream.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace briarhub
+{
+namespace
+{
+
+/// Shorter than `log_silence_limit`, so that a quiet stream is not taken for
+/// a silent log.
+constexpr std::chrono::milliseconds poll_wait{900};
+
+/// Records of one read; the platform limits the size of its answer as well.
+constexpr std::size_t read_limit = 1000;
+
+constexpr std::chrono::milliseconds retry_interval{200};
+constexpr std::chrono::milliseconds own_record_interval{500};
+
+/// A snapshot is due when this share of the retention passed since the last.
+constexpr int snapshot_divisor = 3;
+
+/// Snapshots are delayed by a random part of this share of the retention, so
+/// that usually one VM appends one.
+constexpr int snapshot_spread_divisor = 12;
+
+} // namespace
+
+control_stream::control_stream(
+    settings const& options,
+    fleet_state& fleet,
+    platform_access& platform,
+    fence_check may_fence,
+    std::uint64_t seed)
+    : m_options(options), m_fleet(fleet), m_platform(platform),
+      m_may_fence(std::move(may_fence)), m_random(seed)
+{
+}
+
+void control_stream::stop_appends()
+{
+    m_appends_stopped = true;
+}
+
+void control_stream::stop()
+{
+    m_stopped = true;
+    m_appends_stopped = true;
+    m_fleet.changes().notify();
+}
+
+boost::asio::awaitable<void> control_stream::run_tail()
+{
+    while (!m_stopped)
+    {
+        time_point const start = runtime_clock::now();
+        auto const wait =
+            m_has_read ? poll_wait : std::chrono::milliseconds::zero();
+        log_offset const from = m_fleet.log().next_offset();
+        auto const result = co_await m_platform.read(
+            control_stream_name, from, read_limit, wait);
+        if (m_stopped)
+        {
+            co_return;
+        }
+        if (auto const* const error = std::get_if<platform_error>(&result))
+        {
+            note_log(false, error->m_message);
+            time_point const retry_at = runtime_clock::now() + retry_interval;
+            co_await m_fleet.changes().wait_until(retry_at);
+            continue;
+        }
+        note_log(true, {});
+        take(start, std::get<read_result>(result));
+    }
+}
+
+void control_stream::note_log(bool is_up, std::string const& reason)
+{
+    if (is_up == m_log_is_up)
+    {
+        return;
+    }
+    m_log_is_up = is_up;
+    if (is_up)
+    {
+        spdlog::info("the platform's log answers");
+    }
+    else
+    {
+        spdlog::warn("the platform's log does not answer: {}", reason);
+    }
+}
+
+void control_stream::take(time_point start, read_result const& result)
+{
+    time_point const now = runtime_clock::now();
+    if (!m_first_record_at && !result.m_records.empty())
+    {
+        m_first_record_at = result.m_records.front().m_appended_at;
+    }
+    m_fleet.start_at(now, result.m_first);
+    m_fleet.fold(now, result.m_records);
+    bool const reached_end = m_fleet.log().next_offset() >= result.m_next;
+    m_has_read = m_has_read || reached_end;
+    m_fleet.log_answered(now, start, reached_end);
+}
+
+boost::asio::awaitable<void> control_stream::run_appends()
+{
+    while (!m_appends_stopped)
+    {
+        time_point const now = runtime_clock::now();
+        bool const appended = co_await append_own(now);
+        if (m_appends_stopped)
+        {
+            co_return;
+        }
+        if (!appended)
+        {
+            time_point const next = now + own_record_interval;
+            co_await m_fleet.changes().wait_until(next);
+        }
+    }
+}
+
+/// An append whose answer was lost must be visible before the next one, so a
+/// read that began after the last append has to reach the end of the stream.
+bool control_stream::may_append() const
+{
+    auto const confirmed = m_fleet.last_confirmed_start();
+    return m_log_is_up && confirmed &&
+           (!m_last_append || *confirmed >= *m_last_append);
+}
+
+boost::asio::awaitable<bool> control_stream::append_own(time_point now)
+{
+    if (!may_append())
+    {
+        co_return false;
+    }
+    auto record = next_record(now);
+    if (!record)
+    {
+        co_return false;
+    }
+    co_await append(std::move(*record));
+    co_return true;
+}
+
+boost::asio::awaitable<void> control_stream::append(control_record record)
+{
+    std::string text = to_record(record);
+    auto const result =
+        co_await m_platform.append(control_stream_name, std::move(text));
+    m_last_append = runtime_clock::now();
+    auto const* const error = std::get_if<platform_error>(&result);
+    if (error != nullptr && error->m_code != result_code::log_append_unknown)
+    {
+        // Without effect; the next attempt waits for the next read only.
+        spdlog::debug("append to the control stream: {}", error->m_message);
+    }
+}
+
+std::optional<control_record> control_stream::next_record(time_point now)
+{
+    if (!m_fleet.is_member())
+    {
+        auto own = m_fleet.is_replaced() ? std::nullopt
+                                         : m_fleet.members().own_record(now);
+        m_join_was_appended = m_join_was_appended || own.has_value();
+        return own;
+    }
+    auto const fence = m_fleet.members().next_fence(now);
+    if (fence && m_may_fence(fence->m_vm))
+    {
+        spdlog::info(
+            "fencing member {} incarnation {:016x}",
+            fence->m_vm,
+            fence->m_incarnation);
+        return control_record{*fence};
+    }
+    return take_snapshot_turn(now) ? make_snapshot() : std::nullopt;
+}
+
+bool control_stream::is_snapshot_due() const
+{
+    auto const since = m_fleet.log().last_snapshot_at();
+    auto const reference = since ? since : m_first_record_at;
+    return reference && wall_now() - *reference >
+                            m_options.m_log_retention / snapshot_divisor;
+}
+
+/// True when a snapshot is due and the random delay has passed.
+bool control_stream::take_snapshot_turn(time_point now)
+{
+    if (!is_snapshot_due() || m_snapshot_too_large)
+    {
+        m_snapshot_turn.reset();
+        return false;
+    }
+    if (!m_snapshot_turn)
+    {
+        using std::chrono::duration_cast;
+        using std::chrono::milliseconds;
+        milliseconds const spread = duration_cast<milliseconds>(
+            m_options.m_log_retention / snapshot_spread_divisor);
+        std::uniform_int_distribution<std::int64_t> delay{0, spread.count()};
+        m_snapshot_turn = now + milliseconds{delay(m_random)};
+    }
+    return now >= *m_snapshot_turn;
+}
+
+std::optional<control_record> control_stream::make_snapshot()
+{
+    m_snapshot_turn.reset();
+    auto snapshot = m_fleet.log().make_snapshot();
+    snapshot.m_stable_version = m_fleet.stable_version();
+    if (to_record(snapshot).size() > max_record_bytes)
+    {
+        m_snapshot_too_large = true;
+        spdlog::error("the state is too large for a snapshot in the log; it "
+                      "is kept by running VMs only");
+        return std::nullopt;
+    }
+    return control_record{std::move(snapshot)};
+}
+
+boost::asio::awaitable<void> control_stream::leave(time_point deadline)
+{
+    member const self = m_fleet.self();
+    leave_record const record{self.m_vm, self.m_incarnation, "shutdown"};
+    bool appended = false;
+    while (runtime_clock::now() < deadline &&
+           (m_fleet.is_member() || m_join_was_appended))
+    {
+        if (may_append() && (!appended || m_fleet.is_member()))
+        {
+            co_await append(record);
+            appended = true;
+        }
+        else if (may_append())
+        {
+            co_return;
+        }
+        time_point const next = runtime_clock::now() + retry_interval;
+        co_await m_fleet.changes().wait_until(std::min(next, deadline));
+    }
+}
+
+} // namespace briarhub
--- /dev/null
+++ b/src/control_stream.hpp
@@ -0,0 +1,86 @@
+#ifndef BRIARHUB_CONTROL_STREAM_HPP
+#define BRIARHUB_CONTROL_STREAM_HPP
+
+/// Follows the control stream and appends this VM's own records: join, leave,
+/// fences and snapshots.
+
+#include "control_log.hpp"
+#include "fleet_state.hpp"
+#include "platform_access.hpp"
+#include "settings.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <random>
+#include <string>
+
+namespace briarhub
+{
+
+inline constexpr char const* control_stream_name = "control";
+
+class control_stream
+{
+public:
+    /// Says whether a fence of this VM may be appended.
+    using fence_check = std::function<bool(vm_id const&)>;
+
+    control_stream(
+        settings const& options,
+        fleet_state& fleet,
+        platform_access& platform,
+        fence_check may_fence,
+        std::uint64_t seed);
+
+    /// Reads the stream until `stop`.
+    boost::asio::awaitable<void> run_tail();
+
+    /// Appends this VM's own records until `stop`.
+    boost::asio::awaitable<void> run_appends();
+
+    /// Appends `leave`, at most until `deadline`.
+    boost::asio::awaitable<void> leave(time_point deadline);
+
+    /// Ends own records other than `leave`.
+    void stop_appends();
+    void stop();
+
+    /// The last read was answered.
+    [[nodiscard]] bool is_log_up() const
+    {
+        return m_log_is_up;
+    }
+
+private:
+    void note_log(bool is_up, std::string const& reason);
+    void take(time_point start, read_result const& result);
+    [[nodiscard]] bool may_append() const;
+    boost::asio::awaitable<void> append(control_record record);
+    boost::asio::awaitable<bool> append_own(time_point now);
+    std::optional<control_record> next_record(time_point now);
+    [[nodiscard]] bool is_snapshot_due() const;
+    bool take_snapshot_turn(time_point now);
+    std::optional<control_record> make_snapshot();
+
+    settings m_options;
+    fleet_state& m_fleet;
+    platform_access& m_platform;
+    fence_check m_may_fence;
+    std::mt19937_64 m_random;
+    bool m_log_is_up = false;
+    bool m_has_read = false;
+    bool m_stopped = false;
+    bool m_appends_stopped = false;
+    bool m_join_was_appended = false;
+    bool m_snapshot_too_large = false;
+    std::optional<wall_time> m_first_record_at;
+    std::optional<time_point> m_last_append;
+    std::optional<time_point> m_snapshot_turn;
+};
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/fleet_state.cpp
@@ -0,0 +1,267 @@
+#include "fleet_state.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace briarhub
+{
+namespace
+{
+
+/// Logs who joined and who left between two member lists.
+void log_member_changes(
+    std::vector<member> const& before, std::vector<member> const& after)
+{
+    for (member const& entry : after)
+    {
+        if (std::ranges::find(before, entry) == before.end())
+        {
+            spdlog::info(
+                "member {} incarnation {:016x} joined",
+                entry.m_vm,
+                entry.m_incarnation);
+        }
+    }
+    for (member const& entry : before)
+    {
+        if (std::ranges::find(after, entry) == after.end())
+        {
+            spdlog::info(
+                "member {} incarnation {:016x} left",
+                entry.m_vm,
+                entry.m_incarnation);
+        }
+    }
+}
+
+} // namespace
+
+fleet_state::fleet_state(
+    boost::asio::io_context& io,
+    member const& self,
+    traffic_outbox& outbox,
+    metrics_registry& metrics,
+    std::uint64_t seed)
+    : m_self(self), m_outbox(outbox), m_changes(io), m_freshness(self),
+      m_membership(self, seed),
+      m_version_gauge(metrics.get_gauge("briarhub_control_version")),
+      m_stable_gauge(metrics.get_gauge("briarhub_stable_version"))
+{
+}
+
+void fleet_state::start_at(time_point now, log_offset first)
+{
+    m_log.start_at(first);
+    publish(now);
+}
+
+void fleet_state::fold(time_point now, std::span<log_record const> records)
+{
+    std::vector<member> const before = state().m_members;
+    for (log_record const& record : records)
+    {
+        take_effect(m_log.fold(record));
+    }
+    if (m_members_changed)
+    {
+        log_member_changes(before, state().m_members);
+    }
+    publish(now);
+}
+
+void fleet_state::take_effect(fold_effect const& effect)
+{
+    if (!m_log.has_state())
+    {
+        return;
+    }
+    if (effect.m_replaced_state || !m_outbox.has_sent_state())
+    {
+        m_members_changed = true;
+        m_outbox.send_whole(state());
+    }
+    else if (effect.m_accepted)
+    {
+        m_members_changed = m_members_changed || effect.m_members_changed;
+        m_outbox.send_change(state(), effect);
+    }
+    if (effect.m_members_changed || effect.m_replaced_state)
+    {
+        report_members();
+    }
+    m_freshness.set_version(version());
+}
+
+void fleet_state::adopt(time_point now, snapshot_record const& snapshot)
+{
+    std::vector<member> const before = state().m_members;
+    if (!m_log.adopt(snapshot))
+    {
+        return;
+    }
+    spdlog::info("took over a peer's state at version {}", version());
+    fold_effect effect;
+    effect.m_replaced_state = true;
+    take_effect(effect);
+    log_member_changes(before, state().m_members);
+    publish(now);
+}
+
+void fleet_state::report_members()
+{
+    m_freshness.set_members(version(), state().m_members);
+}
+
+void fleet_state::log_answered(
+    time_point now, time_point start, bool reached_end)
+{
+    m_membership.log_answered(now);
+    if (reached_end && m_log.has_state())
+    {
+        m_last_confirmed_start = start;
+        m_freshness.log_confirmed(start);
+    }
+    publish(now);
+    m_changes.notify();
+}
+
+void fleet_state::peer_answered(
+    time_point now,
+    time_point start,
+    member const& peer,
+    control_version version)
+{
+    m_membership.probe_answered(now, peer);
+    m_freshness.peer_confirmed(start, peer, version);
+    publish(now);
+}
+
+void fleet_state::peer_failed(time_point now, vm_id const& peer)
+{
+    m_membership.probe_failed(now, peer);
+}
+
+/// An empty list is a fault of the platform: this VM runs, so one VM exists.
+void fleet_state::set_vms(time_point now, vm_list list)
+{
+    if (list.m_entries.empty())
+    {
+        return;
+    }
+    m_membership.set_vms(now, list.m_entries);
+    m_outbox.send_upstreams(std::move(list.m_upstreams));
+}
+
+/// Sends what changed to the traffic thread and wakes the waiting coroutines.
+void fleet_state::publish(time_point now)
+{
+    if (!m_log.has_state())
+    {
+        return;
+    }
+    if (!m_outbox.has_sent_state())
+    {
+        m_outbox.send_whole(state());
+        report_members();
+        m_freshness.set_version(version());
+        m_members_changed = true;
+    }
+    if (std::exchange(m_members_changed, false))
+    {
+        m_membership.set_members(now, state().m_members);
+        note_own_membership();
+    }
+    m_outbox.send_stable(stable_version());
+    m_outbox.send_freshness(valid_until());
+    m_version_gauge.set(static_cast<double>(version()));
+    m_stable_gauge.set(static_cast<double>(stable_version()));
+    m_changes.notify();
+}
+
+void fleet_state::note_own_membership()
+{
+    if (is_member())
+    {
+        m_was_member = true;
+        m_is_fenced = false;
+        return;
+    }
+    if (m_was_member && !m_is_fenced)
+    {
+        m_is_fenced = true;
+        spdlog::warn(
+            "this incarnation {:016x} was removed from the members; "
+            "requests are refused until it is a member again",
+            m_self.m_incarnation);
+    }
+}
+
+void fleet_state::tick(time_point now)
+{
+    bool const is_fresh = now < valid_until();
+    if (is_fresh != m_was_fresh)
+    {
+        m_was_fresh = is_fresh;
+        spdlog::info(
+            "the configuration at version {} is {}",
+            version(),
+            is_fresh ? "confirmed" : "no longer confirmed");
+    }
+    if (m_log.has_state())
+    {
+        m_outbox.resend(state());
+    }
+}
+
+bool fleet_state::is_member() const
+{
+    auto const& members = state().m_members;
+    return std::ranges::any_of(
+        members,
+        [&](member const& entry)
+        {
+            return entry.m_vm == m_self.m_vm &&
+                   entry.m_incarnation == m_self.m_incarnation;
+        });
+}
+
+bool fleet_state::is_replaced() const
+{
+    auto const& members = state().m_members;
+    return m_was_member &&
+           std::ranges::any_of(
+               members,
+               [&](member const& entry)
+               {
+                   return entry.m_vm == m_self.m_vm &&
+                          entry.m_incarnation != m_self.m_incarnation;
+               });
+}
+
+time_point fleet_state::valid_until() const
+{
+    if (m_is_fenced || !m_log.has_state())
+    {
+        return {};
+    }
+    return m_freshness.valid_until();
+}
+
+std::optional<member> fleet_state::find_member(vm_id const& vm) const
+{
+    auto const& members = state().m_members;
+    auto const found = std::ranges::find(members, vm, &member::m_vm);
+    if (found != members.end())
+    {
+        return *found;
+    }
+    if (auto const listed = m_membership.find(vm))
+    {
+        return member{vm, 0, listed->m_failure_domain};
+    }
+    return std::nullopt;
+}
+
+} // namespace briarhub
--- /dev/null
+++ b/src/fleet_state.hpp
@@ -0,0 +1,133 @@
+#ifndef BRIARHUB_FLEET_STATE_HPP
+#define BRIARHUB_FLEET_STATE_HPP
+
+/// What this VM knows of the fleet: joins the fold of the control stream,
+/// freshness and membership, and sends each change to the traffic thread.
+/// No I/O.
+
+#include "control_log.hpp"
+#include "freshness.hpp"
+#include "membership.hpp"
+#include "metrics.hpp"
+#include "notifier.hpp"
+#include "traffic_outbox.hpp"
+#include "types.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <span>
+
+namespace briarhub
+{
+
+class fleet_state
+{
+public:
+    fleet_state(
+        boost::asio::io_context& io,
+        member const& self,
+        traffic_outbox& outbox,
+        metrics_registry& metrics,
+        std::uint64_t seed);
+
+    /// The oldest offset that a read of the control stream can return.
+    void start_at(time_point now, log_offset first);
+
+    /// Records of the control stream, from the log or from a peer.
+    void fold(time_point now, std::span<log_record const> records);
+
+    /// A peer's whole state.
+    void adopt(time_point now, snapshot_record const& snapshot);
+
+    /// A read of the control stream that began at `start` was answered;
+    /// `reached_end` if nothing was left to read.
+    void log_answered(time_point now, time_point start, bool reached_end);
+
+    /// A probe that began at `start` was answered.
+    void peer_answered(
+        time_point now,
+        time_point start,
+        member const& peer,
+        control_version version);
+    void peer_failed(time_point now, vm_id const& peer);
+
+    void set_vms(time_point now, vm_list list);
+
+    /// Logs changes between fresh and stale and sends dropped state again.
+    void tick(time_point now);
+
+    [[nodiscard]] member const& self() const
+    {
+        return m_self;
+    }
+    [[nodiscard]] control_log const& log() const
+    {
+        return m_log;
+    }
+    [[nodiscard]] control_state const& state() const
+    {
+        return m_log.state();
+    }
+    [[nodiscard]] control_version version() const
+    {
+        return m_log.state().m_version;
+    }
+    [[nodiscard]] control_version stable_version() const
+    {
+        return m_freshness.stable_version();
+    }
+    [[nodiscard]] membership& members()
+    {
+        return m_membership;
+    }
+
+    /// The start of the latest read of the stream that reached its end.
+    [[nodiscard]] std::optional<time_point> last_confirmed_start() const
+    {
+        return m_last_confirmed_start;
+    }
+
+    /// This incarnation is a member.
+    [[nodiscard]] bool is_member() const;
+
+    /// Another incarnation of this VM took this one's place.
+    [[nodiscard]] bool is_replaced() const;
+
+    /// Until when requests may be admitted; the epoch if not at all.
+    [[nodiscard]] time_point valid_until() const;
+
+    /// The member of this VM id, or what the VM list knows of it.
+    [[nodiscard]] std::optional<member> find_member(vm_id const& vm) const;
+
+    /// Notified after each change of state, stable version or confirmation.
+    [[nodiscard]] notifier& changes()
+    {
+        return m_changes;
+    }
+
+private:
+    void take_effect(fold_effect const& effect);
+    void note_own_membership();
+    void publish(time_point now);
+    void report_members();
+
+    member m_self;
+    traffic_outbox& m_outbox;
+    notifier m_changes;
+    control_log m_log;
+    freshness m_freshness;
+    membership m_membership;
+    gauge& m_version_gauge;
+    gauge& m_stable_gauge;
+    std::optional<time_point> m_last_confirmed_start;
+    bool m_was_member = false;
+    bool m_is_fenced = false;
+    bool m_was_fresh = false;
+    bool m_members_changed = false;
+};
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/peer_exchange.cpp
@@ -0,0 +1,548 @@
+#include "peer_exchange.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace briarhub
+{
+namespace
+{
+
+/// Leaves time for a second probe within the freshness window.
+constexpr std::chrono::milliseconds probe_timeout{1000};
+constexpr std::chrono::milliseconds records_timeout{5000};
+constexpr std::chrono::milliseconds loan_timeout{1000};
+
+/// The log usually delivers a new record as soon as a peer mentions it.
+constexpr std::chrono::milliseconds fetch_delay{200};
+constexpr std::size_t max_parallel_fetches = 3;
+
+/// While a change waits for confirmation, its members are probed this often.
+constexpr std::chrono::milliseconds confirm_interval{100};
+constexpr std::size_t max_probes_at_once = 64;
+
+/// Connections to peers that were not used for this long are closed.
+constexpr std::chrono::seconds connection_idle_limit{60};
+
+/// Records in one answer; the rest is asked for again.
+constexpr std::size_t max_records_in_reply = 1000;
+
+/// A report of a silent VM counts for this long.
+constexpr std::chrono::seconds silent_report_age_limit{15};
+
+} // namespace
+
+peer_exchange::peer_exchange(
+    boost::asio::io_context& io,
+    settings const& options,
+    fleet_state& fleet,
+    traffic_outbox& outbox,
+    metrics_registry& metrics)
+    : m_io(io), m_fleet(fleet), m_outbox(outbox),
+      m_sent_bytes(metrics.get_counter(
+          "briarhub_peer_bytes_total", {{"direction", "sent"}})),
+      m_received_bytes(metrics.get_counter(
+          "briarhub_peer_bytes_total", {{"direction", "received"}})),
+      m_refused_messages(
+          metrics.get_counter("briarhub_peer_messages_refused_total")),
+      m_round_trip(metrics.get_latency("briarhub_probe_round_trip_seconds")),
+      m_client(io), m_server(
+                        io,
+                        options.m_peer_listen,
+                        [this](
+                            std::string_view path,
+                            std::string_view text,
+                            peer_responder respond)
+                        {
+                            handle(path, text, std::move(respond));
+                        }),
+      m_wakeup(io)
+{
+}
+
+std::uint16_t peer_exchange::port() const
+{
+    return m_server.port();
+}
+
+void peer_exchange::stop()
+{
+    m_stopped = true;
+    m_waiting_loans.clear();
+    m_server.stop();
+    m_wakeup.notify();
+}
+
+peer_sender peer_exchange::own_sender() const
+{
+    member const& self = m_fleet.self();
+    control_version const version =
+        m_fleet.log().has_state() ? m_fleet.version() : 0;
+    return {self.m_vm, self.m_incarnation, version};
+}
+
+boost::asio::awaitable<void> peer_exchange::run_probes()
+{
+    while (!m_stopped)
+    {
+        time_point const now = runtime_clock::now();
+        for (entry_vm const& peer : m_fleet.members().next_probes(now))
+        {
+            start_probe(peer);
+        }
+        m_fleet.tick(now);
+        m_client.close_idle(now, connection_idle_limit);
+        expire(now);
+        count_bytes();
+        co_await m_wakeup.wait_until(now + probe_interval);
+    }
+}
+
+void peer_exchange::count_bytes()
+{
+    auto const client = m_client.totals();
+    auto const server = m_server.totals();
+    std::uint64_t const sent = client.m_bytes_sent + server.m_sent;
+    std::uint64_t const received = client.m_bytes_received + server.m_received;
+    m_sent_bytes.add(sent - m_sent_bytes.value());
+    m_received_bytes.add(received - m_received_bytes.value());
+}
+
+void peer_exchange::expire(time_point now)
+{
+    std::erase_if(
+        m_waiting_loans,
+        [&](auto const& entry)
+        {
+            return now - entry.second.m_since > loan_timeout;
+        });
+    std::erase_if(
+        m_reported_silent,
+        [&](auto const& entry)
+        {
+            return now - entry.second > silent_report_age_limit;
+        });
+}
+
+/// Members that have not acknowledged the version are probed until a majority
+/// has; the regular probes alone would take seconds in a large fleet.
+boost::asio::awaitable<void>
+peer_exchange::confirm(control_version version, time_point deadline)
+{
+    time_point now = runtime_clock::now();
+    while (!m_stopped && now < deadline && m_fleet.stable_version() < version)
+    {
+        std::size_t started = 0;
+        for (member const& entry : m_fleet.state().m_members)
+        {
+            auto const peer = m_fleet.members().find(entry.m_vm);
+            if (peer && entry.m_vm != m_fleet.self().m_vm &&
+                m_acknowledged[entry.m_vm] < version &&
+                started < max_probes_at_once)
+            {
+                start_probe(*peer);
+                ++started;
+            }
+        }
+        co_await m_wakeup.wait_until(now + confirm_interval);
+        now = runtime_clock::now();
+    }
+}
+
+void peer_exchange::start_probe(entry_vm const& peer)
+{
+    if (m_probing.insert(peer.m_id).second)
+    {
+        boost::asio::co_spawn(m_io, probe(peer), boost::asio::detached);
+    }
+}
+
+boost::asio::awaitable<void> peer_exchange::probe(entry_vm peer)
+{
+    time_point const start = runtime_clock::now();
+    auto const news = m_news.news_for(start, peer.m_id);
+    probe_message const message{own_sender(), news.m_news, own_silent(start)};
+    std::string text = serialize(message);
+    auto const result = co_await m_client.request(
+        peer.m_peer_address,
+        std::string{probe_path},
+        std::move(text),
+        probe_timeout);
+    if (m_stopped)
+    {
+        co_return;
+    }
+    m_probing.erase(peer.m_id);
+    auto const* const answer = std::get_if<std::string>(&result);
+    auto reply = answer == nullptr ? std::nullopt : parse_probe_reply(*answer);
+    // Another VM may have got the address of one that is gone.
+    if (!reply || reply->m_sender.m_vm != peer.m_id)
+    {
+        m_fleet.peer_failed(runtime_clock::now(), peer.m_id);
+        co_return;
+    }
+    m_news.delivered(peer.m_id, news.m_through);
+    take_reply(peer, start, std::move(*reply));
+}
+
+void peer_exchange::take_reply(
+    entry_vm const& peer, time_point start, probe_message reply)
+{
+    time_point const now = runtime_clock::now();
+    m_round_trip.record(now - start);
+    peer_sender const& sender = reply.m_sender;
+    m_acknowledged[sender.m_vm] = sender.m_version;
+    member const answering{
+        sender.m_vm, sender.m_incarnation, peer.m_failure_domain};
+    m_fleet.peer_answered(now, start, answering, sender.m_version);
+    receive_news(sender, reply.m_news);
+    note_silent(reply);
+    if (sender.m_version > own_sender().m_version)
+    {
+        start_fetch(peer);
+    }
+}
+
+void peer_exchange::start_fetch(entry_vm const& peer)
+{
+    if (m_fetching.size() < max_parallel_fetches &&
+        m_fetching.insert(peer.m_id).second)
+    {
+        boost::asio::co_spawn(m_io, fetch(peer), boost::asio::detached);
+    }
+}
+
+boost::asio::awaitable<void> peer_exchange::fetch(entry_vm peer)
+{
+    if (m_fleet.log().has_state())
+    {
+        time_point const start = runtime_clock::now() + fetch_delay;
+        co_await m_wakeup.wait_until(start);
+    }
+    bool has_more = !m_stopped;
+    while (has_more)
+    {
+        has_more = co_await fetch_once(peer);
+    }
+    if (!m_stopped)
+    {
+        m_fetching.erase(peer.m_id);
+    }
+}
+
+/// True if the peer has more.
+boost::asio::awaitable<bool> peer_exchange::fetch_once(entry_vm peer)
+{
+    control_version const before = own_sender().m_version;
+    if (m_acknowledged[peer.m_id] <= before)
+    {
+        co_return false;
+    }
+    records_request request{own_sender(), std::nullopt};
+    log_offset const next = m_fleet.log().next_offset();
+    if (m_fleet.log().has_state() && next > 0)
+    {
+        request.m_after = next - 1;
+    }
+    std::string text = serialize(request);
+    auto const result = co_await m_client.request(
+        peer.m_peer_address,
+        std::string{records_path},
+        std::move(text),
+        records_timeout);
+    auto const* const answer = std::get_if<std::string>(&result);
+    auto const reply =
+        answer == nullptr ? std::nullopt : parse_records_reply(*answer);
+    if (m_stopped || !reply)
+    {
+        co_return false;
+    }
+    take_records(*reply);
+    co_return own_sender().m_version > before;
+}
+
+void peer_exchange::take_records(records_reply const& reply)
+{
+    time_point const now = runtime_clock::now();
+    if (reply.m_snapshot)
+    {
+        auto record = parse_control_record(*reply.m_snapshot);
+        auto* const snapshot =
+            record ? std::get_if<snapshot_record>(&*record) : nullptr;
+        if (snapshot != nullptr)
+        {
+            m_fleet.adopt(now, *snapshot);
+        }
+        return;
+    }
+    // A gap would make the state unusable.
+    bool const follows =
+        !reply.m_records.empty() &&
+        reply.m_records.front().m_offset <= m_fleet.log().next_offset();
+    if (follows && m_fleet.log().has_state())
+    {
+        m_fleet.fold(now, reply.m_records);
+    }
+}
+
+void peer_exchange::send(addressed_loan_message&& message)
+{
+    std::visit(
+        [&](auto const& content)
+        {
+            send_content(message.m_peer, content);
+        },
+        message.m_message);
+}
+
+void peer_exchange::send_content(vm_id const& peer, loan_request const& loan)
+{
+    boost::asio::co_spawn(
+        m_io, request_loan(peer, loan), boost::asio::detached);
+}
+
+void peer_exchange::send_content(vm_id const& peer, loan_return const& loan)
+{
+    boost::asio::co_spawn(m_io, return_loan(peer, loan), boost::asio::detached);
+}
+
+/// Answers the request that the peer is waiting for. Without one, the reply is
+/// lost, and the lender takes the loan back at its end.
+void peer_exchange::send_content(vm_id const& peer, loan_reply const& loan)
+{
+    auto node = m_waiting_loans.extract({peer, loan.m_request_id});
+    if (!node.empty())
+    {
+        node.mapped().m_respond(serialize(loan));
+    }
+}
+
+boost::asio::awaitable<void>
+peer_exchange::request_loan(vm_id peer, loan_request loan)
+{
+    auto const vm = m_fleet.members().find(peer);
+    if (!vm)
+    {
+        co_return;
+    }
+    sent_loan_message<loan_request> const message{own_sender(), loan};
+    std::string text = serialize(message);
+    auto const result = co_await m_client.request(
+        vm->m_peer_address,
+        std::string{loan_path},
+        std::move(text),
+        loan_timeout);
+    auto const* const answer = std::get_if<std::string>(&result);
+    auto reply = answer == nullptr ? std::nullopt : parse_loan_reply(*answer);
+    if (m_stopped || !reply || reply->m_account != loan.m_account ||
+        reply->m_request_id != loan.m_request_id)
+    {
+        co_return;
+    }
+    m_outbox.send(addressed_loan_message{peer, std::move(*reply)});
+}
+
+boost::asio::awaitable<void>
+peer_exchange::return_loan(vm_id peer, loan_return loan)
+{
+    auto const vm = m_fleet.members().find(peer);
+    if (!vm)
+    {
+        co_return;
+    }
+    sent_loan_message<loan_return> const message{own_sender(), loan};
+    std::string text = serialize(message);
+    // Never sent twice: the lender credits it once, and a lost one only loses
+    // tokens.
+    co_await m_client.request(
+        vm->m_peer_address,
+        std::string{loan_return_path},
+        std::move(text),
+        loan_timeout);
+}
+
+void peer_exchange::add_evidence(std::vector<evidence> const& items)
+{
+    m_news.add_evidence(runtime_clock::now(), items);
+}
+
+void peer_exchange::add_suspects(std::vector<suspect_request> const& items)
+{
+    m_news.add_suspects(runtime_clock::now(), items);
+}
+
+bool peer_exchange::is_reported_silent(vm_id const& vm) const
+{
+    return m_reported_silent.contains(vm);
+}
+
+void peer_exchange::handle(
+    std::string_view path, std::string_view text, peer_responder respond)
+{
+    if (path == loan_path)
+    {
+        answer_loan(text, std::move(respond));
+        return;
+    }
+    std::optional<std::string> answer;
+    if (path == probe_path)
+    {
+        answer = answer_probe(text);
+    }
+    else if (path == records_path)
+    {
+        answer = answer_records(text);
+    }
+    else if (path == loan_return_path)
+    {
+        answer = answer_loan_return(text);
+    }
+    if (!answer)
+    {
+        m_refused_messages.add();
+    }
+    respond(std::move(answer));
+}
+
+std::optional<std::string> peer_exchange::answer_probe(std::string_view text)
+{
+    auto const probe = parse_probe(text);
+    if (!probe)
+    {
+        return std::nullopt;
+    }
+    time_point const now = runtime_clock::now();
+    peer_sender const& sender = probe->m_sender;
+    receive_news(sender, probe->m_news);
+    note_silent(*probe);
+    if (sender.m_version > own_sender().m_version)
+    {
+        m_acknowledged[sender.m_vm] = sender.m_version;
+        if (auto const peer = m_fleet.members().find(sender.m_vm))
+        {
+            start_fetch(*peer);
+        }
+    }
+    auto news = m_news.news_for(now, sender.m_vm);
+    m_news.delivered(sender.m_vm, news.m_through);
+    return serialize_reply(
+        {own_sender(), std::move(news.m_news), own_silent(now)});
+}
+
+std::optional<std::string> peer_exchange::answer_records(std::string_view text)
+{
+    auto const request = parse_records_request(text);
+    if (!request)
+    {
+        return std::nullopt;
+    }
+    records_reply reply{own_sender(), {}, std::nullopt};
+    if (!m_fleet.log().has_state())
+    {
+        return serialize(reply);
+    }
+    auto records = request->m_after
+                       ? m_fleet.log().records_after(*request->m_after)
+                       : std::nullopt;
+    if (records)
+    {
+        records->resize(std::min(records->size(), max_records_in_reply));
+        reply.m_records = std::move(*records);
+        return serialize(reply);
+    }
+    auto snapshot = m_fleet.log().make_snapshot();
+    snapshot.m_stable_version = m_fleet.stable_version();
+    reply.m_snapshot = to_record(snapshot);
+    return serialize(reply);
+}
+
+/// An earlier incarnation must not move shares any more: its successor has
+/// them.
+bool peer_exchange::is_outdated(peer_sender const& sender) const
+{
+    auto const& members = m_fleet.state().m_members;
+    auto const found = std::ranges::find(members, sender.m_vm, &member::m_vm);
+    return found != members.end() &&
+           found->m_incarnation != sender.m_incarnation &&
+           sender.m_version <= own_sender().m_version;
+}
+
+void peer_exchange::answer_loan(std::string_view text, peer_responder respond)
+{
+    auto const request = parse_loan_request(text);
+    if (!request || is_outdated(request->m_sender))
+    {
+        m_refused_messages.add();
+        respond(std::nullopt);
+        return;
+    }
+    vm_id const& peer = request->m_sender.m_vm;
+    bool const sent =
+        m_outbox.send(addressed_loan_message{peer, request->m_content});
+    if (!sent)
+    {
+        respond(std::nullopt);
+        return;
+    }
+    m_waiting_loans[{peer, request->m_content.m_request_id}] = {
+        runtime_clock::now(), std::move(respond)};
+}
+
+std::optional<std::string>
+peer_exchange::answer_loan_return(std::string_view text)
+{
+    auto const message = parse_loan_return(text);
+    if (!message || is_outdated(message->m_sender))
+    {
+        return std::nullopt;
+    }
+    m_outbox.send(
+        addressed_loan_message{message->m_sender.m_vm, message->m_content});
+    return std::string{};
+}
+
+void peer_exchange::receive_news(
+    peer_sender const& sender, peer_news const& news)
+{
+    auto reporter = m_fleet.find_member(sender.m_vm);
+    if (reporter && !news.m_evidence.empty())
+    {
+        reporter->m_incarnation = sender.m_incarnation;
+        m_outbox.send(peer_evidence{std::move(*reporter), news.m_evidence});
+    }
+    auto added = m_news.add_suspects(runtime_clock::now(), news.m_suspects);
+    if (!added.empty())
+    {
+        m_outbox.send(peer_suspects{std::move(added)});
+    }
+}
+
+void peer_exchange::note_silent(probe_message const& message)
+{
+    time_point const now = runtime_clock::now();
+    for (vm_id const& vm : message.m_silent)
+    {
+        m_reported_silent[vm] = now;
+    }
+}
+
+/// Members without an answer to this VM.
+std::vector<vm_id> peer_exchange::own_silent(time_point now)
+{
+    std::vector<vm_id> silent;
+    for (auto const& peer : m_fleet.members().status(now))
+    {
+        if (!peer.m_answers && peer.m_member.m_vm != m_fleet.self().m_vm &&
+            silent.size() < max_message_items)
+        {
+            silent.push_back(peer.m_member.m_vm);
+        }
+    }
+    return silent;
+}
+
+} // namespace briarhub
--- /dev/null
+++ b/src/platform_access.hpp
@@ -0,0 +1,49 @@
+#ifndef BRIARHUB_PLATFORM_ACCESS_HPP
+#define BRIARHUB_PLATFORM_ACCESS_HPP
+
+/// The platform client with counters of its operations.
+
+#include "metrics.hpp"
+#include "platform_client.hpp"
+#include "settings.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <string>
+#include <string_view>
+
+namespace briarhub
+{
+
+class platform_access
+{
+public:
+    platform_access(
+        boost::asio::io_context& io,
+        settings const& options,
+        metrics_registry& metrics);
+
+    boost::asio::awaitable<platform_result<log_offset>>
+    append(std::string stream, std::string record);
+
+    boost::asio::awaitable<platform_result<read_result>> read(
+        std::string stream,
+        log_offset from,
+        std::size_t limit,
+        std::chrono::milliseconds wait);
+
+    boost::asio::awaitable<platform_result<vm_list>> list_vms();
+
+    void close();
+
+private:
+    void count(std::string_view operation, platform_error const* error);
+
+    metrics_registry& m_metrics;
+    platform_client m_client;
+};
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/traffic_outbox.cpp
@@ -0,0 +1,120 @@
+#include "traffic_outbox.hpp"
+
+#include <utility>
+
+namespace briarhub
+{
+
+traffic_outbox::traffic_outbox(
+    mailbox<traffic_message>& to_traffic, metrics_registry& metrics)
+    : m_to_traffic(to_traffic),
+      m_dropped(metrics.get_counter(
+          "briarhub_dropped_messages_total", {{"to", "traffic"}}))
+{
+}
+
+bool traffic_outbox::send(traffic_message&& message)
+{
+    bool const sent = m_to_traffic.push(std::move(message));
+    if (!sent)
+    {
+        m_dropped.add();
+    }
+    return sent;
+}
+
+void traffic_outbox::send_whole(control_state const& state)
+{
+    m_has_sent_state = true;
+    m_state_is_due = !send_whole_config(state) || !send_whole_members(state);
+}
+
+bool traffic_outbox::send_whole_config(control_state const& state)
+{
+    return send(config_update{
+        state.m_config_version, std::make_unique<config>(state.m_config), {}});
+}
+
+/// After a gap an empty view goes first. Rate shares of a member that joined
+/// and left inside the gap may still be in use elsewhere, so this VM's shares
+/// have to end and to start again after the rebalance delay.
+bool traffic_outbox::send_whole_members(control_state const& state)
+{
+    bool const after_gap = m_has_sent_members && state.m_version > 0;
+    if (after_gap && !send(members_update{state.m_version - 1, {}}))
+    {
+        return false;
+    }
+    m_has_sent_members = true;
+    return send(members_update{state.m_version, state.m_members});
+}
+
+void traffic_outbox::send_change(
+    control_state const& state, fold_effect const& effect)
+{
+    if (m_state_is_due)
+    {
+        // Operations apply to the state before them, which was dropped.
+        return;
+    }
+    bool sent = true;
+    if (!effect.m_operations.empty())
+    {
+        sent = send(config_update{
+            state.m_config_version, nullptr, effect.m_operations});
+    }
+    if (sent && effect.m_members_changed)
+    {
+        sent = send(members_update{state.m_version, state.m_members});
+    }
+    m_state_is_due = !sent;
+}
+
+void traffic_outbox::send_stable(control_version version)
+{
+    if (m_stable != version)
+    {
+        m_stable = version;
+        m_stable_is_due = !send(stable_update{version});
+    }
+}
+
+void traffic_outbox::send_freshness(time_point valid_until)
+{
+    if (m_valid_until != valid_until)
+    {
+        m_valid_until = valid_until;
+        m_freshness_is_due = !send(freshness_update{valid_until});
+    }
+}
+
+void traffic_outbox::send_upstreams(std::vector<upstream> upstreams)
+{
+    if (m_upstreams != upstreams)
+    {
+        m_upstreams = std::move(upstreams);
+        m_upstreams_are_due = !send(upstreams_update{m_upstreams});
+    }
+}
+
+void traffic_outbox::resend(control_state const& state)
+{
+    if (m_state_is_due)
+    {
+        send_whole(state);
+    }
+    if (m_stable_is_due)
+    {
+        m_stable_is_due = !send(stable_update{*m_stable});
+    }
+    if (m_freshness_is_due)
+    {
+        m_freshness_is_due = !send(freshness_update{m_valid_until});
+    }
+    if (m_upstreams_are_due)
+    {
+        m_upstreams_are_due = !send(upstreams_update{m_upstreams});
+    }
+}
+
+} // namespace briarhub
--- /dev/null
+++ b/src/traffic_outbox.hpp
@@ -0,0 +1,65 @@
+#ifndef BRIARHUB_TRAFFIC_OUTBOX_HPP
+#define BRIARHUB_TRAFFIC_OUTBOX_HPP
+
+/// Sends the fleet's state to the traffic thread. State that was dropped by a
+/// full ring is sent again as a whole; other messages stay lost.
+
+#include "control_log.hpp"
+#include "mailbox.hpp"
+#include "metrics.hpp"
+#include "thread_messages.hpp"
+
+#include <optional>
+#include <vector>
+
+namespace briarhub
+{
+
+class traffic_outbox
+{
+public:
+    traffic_outbox(
+        mailbox<traffic_message>& to_traffic, metrics_registry& metrics);
+
+    /// False if the message was dropped.
+    bool send(traffic_message&& message);
+
+    /// The first state, or one that did not come about by folding record
+    /// after record.
+    void send_whole(control_state const& state);
+
+    /// What one accepted record changed.
+    void send_change(control_state const& state, fold_effect const& effect);
+
+    void send_stable(control_version version);
+    void send_freshness(time_point valid_until);
+    void send_upstreams(std::vector<upstream> upstreams);
+
+    /// Sends dropped state again. Called now and then.
+    void resend(control_state const& state);
+
+    [[nodiscard]] bool has_sent_state() const
+    {
+        return m_has_sent_state;
+    }
+
+private:
+    bool send_whole_config(control_state const& state);
+    bool send_whole_members(control_state const& state);
+
+    mailbox<traffic_message>& m_to_traffic;
+    counter& m_dropped;
+    bool m_has_sent_state = false;
+    bool m_has_sent_members = false;
+    bool m_state_is_due = false;
+    std::optional<control_version> m_stable;
+    bool m_stable_is_due = false;
+    time_point m_valid_until{};
+    bool m_freshness_is_due = false;
+    std::vector<upstream> m_upstreams;
+    bool m_upstreams_are_due = false;
+};
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/vm_list_poller.hpp
@@ -0,0 +1,43 @@
+#ifndef BRIARHUB_VM_LIST_POLLER_HPP
+#define BRIARHUB_VM_LIST_POLLER_HPP
+
+/// Polls the platform's VM list. The last list is kept while it is down.
+
+#include "fleet_state.hpp"
+#include "notifier.hpp"
+#include "platform_access.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+
+namespace briarhub
+{
+
+inline constexpr std::chrono::seconds vm_list_interval{1};
+
+class vm_list_poller
+{
+public:
+    vm_list_poller(
+        boost::asio::io_context& io,
+        fleet_state& fleet,
+        platform_access& platform);
+
+    /// Polls until `stop`.
+    boost::asio::awaitable<void> run();
+    void stop();
+
+private:
+    void note(bool answers);
+
+    fleet_state& m_fleet;
+    platform_access& m_platform;
+    notifier m_wakeup;
+    bool m_stopped = false;
+    bool m_answers = true;
+};
+
+} // namespace briarhub
+
+#endif
