--- a/src/claims_pump.cpp
+++ b/src/claims_pump.cpp
@@ -274,9 +274,15 @@
     }
 }
 
+/// The writer has nothing to append for longer than it ever delays a batch.
+bool claims_pump::is_flushed() const
+{
+    return !m_is_appending && !m_has_unsent;
+}
+
 boost::asio::awaitable<void> claims_pump::flush(time_point deadline)
 {
-    while (runtime_clock::now() < deadline && !m_writer.is_idle())
+    while (runtime_clock::now() < deadline && !is_flushed())
     {
         time_point const next = runtime_clock::now() + retry_interval;
         co_await m_wakeup.wait_until(std::min(next, deadline));
--- a/src/claims_pump.hpp
+++ b/src/claims_pump.hpp
@@ -67,6 +67,7 @@
     void finish_append(platform_result<log_offset> const& result);
     void decide();
     void announce(bool is_available);
+    [[nodiscard]] bool is_flushed() const;
 
     settings m_options;
     member m_self;
@@ -81,6 +82,7 @@
     bool m_has_started = false;
     bool m_stopped = false;
     bool m_is_appending = false;
+    bool m_has_unsent = false; ///< outcomes or releases
     std::optional<claims_covered> m_announced;
     time_point m_retry_append_at{};
 };
--- a/src/news_log.cpp
+++ b/src/news_log.cpp
@@ -79,12 +79,12 @@
     auto const found = m_delivered.find(peer);
     std::uint64_t const after = found == m_delivered.end() ? 0 : found->second;
     batch result{{merged_evidence(after), {}}, m_sequence};
-    for (auto const& entry : m_suspects)
+    for (auto const& [sequence, at, item] : m_suspects)
     {
-        if (entry.m_sequence > after &&
+        if (sequence > after &&
             result.m_news.m_suspects.size() < max_suspect_items)
         {
-            result.m_news.m_suspects.push_back(entry.m_item);
+            result.m_news.m_suspects.push_back(item);
         }
     }
     return result;
@@ -93,11 +93,11 @@
 std::vector<evidence> news_log::merged_evidence(std::uint64_t after) const
 {
     std::map<upstream_id, evidence> totals;
-    for (auto const& entry : m_evidence)
+    for (auto const& [sequence, at, item] : m_evidence)
     {
-        if (entry.m_sequence > after)
+        if (sequence > after)
         {
-            add_counts(totals[entry.m_item.m_upstream], entry.m_item);
+            add_counts(totals[item.m_upstream], item);
         }
     }
     std::vector<evidence> items;
