--- a/src/claims_pump.cpp
+++ b/src/claims_pump.cpp
@@ -1,7 +1,5 @@
 #include "claims_pump.hpp"
 
-#include "claim_key.hpp"
-
 #include <algorithm>
 #include <utility>
 #include <variant>
@@ -164,8 +162,7 @@
     announce(reached_end);
 }
 
-/// Claims before the first record that the log keeps are unknown. A key's time
-/// may be ahead of its claim's append by the tolerated skew.
+/// Claims before the first record that the log keeps are unknown.
 void claims_pump::start_table(read_result const& result)
 {
     m_has_started = true;
@@ -178,14 +175,15 @@
     wall_time const oldest = result.m_records.empty()
                                  ? wall_now()
                                  : result.m_records.front().m_appended_at;
-    m_table.set_covered_since(oldest + idempotency_key_skew);
+    m_table.set_covered_since(oldest);
 }
 
 void claims_pump::announce(bool is_available)
 {
-    claims_covered const covered{m_table.covered_since(), is_available};
+    bool const can_claim = is_available && m_has_started;
+    claims_covered const covered{m_table.covered_since(), can_claim};
     bool const is_known = m_announced &&
-                          m_announced->m_available == is_available &&
+                          m_announced->m_available == can_claim &&
                           covered.m_since - m_announced->m_since < covered_step;
     if (!is_known && m_outbox.send(claims_covered{covered}))
     {
@@ -217,19 +215,13 @@
 boost::asio::awaitable<bool> claims_pump::append_once()
 {
     time_point const now = runtime_clock::now();
-    if (now < m_retry_append_at)
-    {
-        co_return false;
-    }
     auto record = m_writer.take_append(now);
     if (!record)
     {
         co_return false;
     }
-    m_is_appending = true;
     auto const result =
         co_await m_platform.append(claims_stream_name, std::move(*record));
-    m_is_appending = false;
     if (m_stopped)
     {
         co_return true;
@@ -248,7 +240,6 @@
         m_writer.append_succeeded(now, *offset);
         return;
     }
-    m_retry_append_at = now + retry_interval;
     auto const& error = std::get<platform_error>(result);
     if (error.m_code == result_code::log_append_unknown)
     {
@@ -274,15 +265,9 @@
     }
 }
 
-/// The writer has nothing to append for longer than it ever delays a batch.
-bool claims_pump::is_flushed() const
-{
-    return !m_is_appending && !m_has_unsent;
-}
-
 boost::asio::awaitable<void> claims_pump::flush(time_point deadline)
 {
-    while (runtime_clock::now() < deadline && !is_flushed())
+    while (runtime_clock::now() < deadline && m_writer.has_unsent())
     {
         time_point const next = runtime_clock::now() + retry_interval;
         co_await m_wakeup.wait_until(std::min(next, deadline));
--- a/src/claims_pump.hpp
+++ b/src/claims_pump.hpp
@@ -67,7 +67,6 @@
     void finish_append(platform_result<log_offset> const& result);
     void decide();
     void announce(bool is_available);
-    [[nodiscard]] bool is_flushed() const;
 
     settings m_options;
     member m_self;
@@ -81,10 +80,7 @@
     claim_writer m_writer;
     bool m_has_started = false;
     bool m_stopped = false;
-    bool m_is_appending = false;
-    bool m_has_unsent = false; ///< outcomes or releases
     std::optional<claims_covered> m_announced;
-    time_point m_retry_append_at{};
 };
 
 } // namespace briarhub
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -63,15 +63,7 @@
           m_platform(io, options, metrics),
           m_fleet(io, self, m_outbox, metrics, make_seed()),
           m_peers(io, options, m_fleet, m_outbox, metrics),
-          m_stream(
-              options,
-              m_fleet,
-              m_platform,
-              [this](vm_id const& vm)
-              {
-                  return m_peers.is_reported_silent(vm);
-              },
-              make_seed()),
+          m_stream(options, m_fleet, m_platform, make_seed()),
           m_vm_list(io, m_fleet, m_platform),
           m_claims(io, options, self, m_platform, m_outbox, metrics),
           m_admin(io, m_fleet, m_platform, m_stream, m_peers, m_claims)
--- a/src/control.hpp
+++ b/src/control.hpp
@@ -18,7 +18,8 @@
 namespace briarhub
 {
 
-/// Runs on the one thread that runs `io`.
+/// Runs on the one thread that runs `io`; destroyed only after `io` has
+/// stopped, since the loops of the control thread refer to it.
 class control
 {
 public:
--- a/src/control_stream.cpp
+++ b/src/control_stream.cpp
@@ -33,10 +33,8 @@
     settings const& options,
     fleet_state& fleet,
     platform_access& platform,
-    fence_check may_fence,
     std::uint64_t seed)
-    : m_options(options), m_fleet(fleet), m_platform(platform),
-      m_may_fence(std::move(may_fence)), m_random(seed)
+    : m_options(options), m_fleet(fleet), m_platform(platform), m_random(seed)
 {
 }
 
@@ -169,13 +167,12 @@
 {
     if (!m_fleet.is_member())
     {
-        auto own = m_fleet.is_replaced() ? std::nullopt
-                                         : m_fleet.members().own_record(now);
+        auto own = m_fleet.members().own_record(now);
         m_join_was_appended = m_join_was_appended || own.has_value();
         return own;
     }
     auto const fence = m_fleet.members().next_fence(now);
-    if (fence && m_may_fence(fence->m_vm))
+    if (fence)
     {
         spdlog::info(
             "fencing member {} incarnation {:016x}",
--- a/src/control_stream.hpp
+++ b/src/control_stream.hpp
@@ -12,7 +12,6 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
-#include <functional>
 #include <optional>
 #include <random>
 #include <string>
@@ -25,14 +24,10 @@
 class control_stream
 {
 public:
-    /// Says whether a fence of this VM may be appended.
-    using fence_check = std::function<bool(vm_id const&)>;
-
     control_stream(
         settings const& options,
         fleet_state& fleet,
         platform_access& platform,
-        fence_check may_fence,
         std::uint64_t seed);
 
     /// Reads the stream until `stop`.
@@ -68,7 +63,6 @@
     settings m_options;
     fleet_state& m_fleet;
     platform_access& m_platform;
-    fence_check m_may_fence;
     std::mt19937_64 m_random;
     bool m_log_is_up = false;
     bool m_has_read = false;
--- a/src/fleet_state.cpp
+++ b/src/fleet_state.cpp
@@ -87,10 +87,7 @@
         m_members_changed = m_members_changed || effect.m_members_changed;
         m_outbox.send_change(state(), effect);
     }
-    if (effect.m_members_changed || effect.m_replaced_state)
-    {
-        report_members();
-    }
+    report_members(effect);
     m_freshness.set_version(version());
 }
 
@@ -109,9 +106,25 @@
     publish(now);
 }
 
-void fleet_state::report_members()
+/// Tells `freshness` of each member set, in the order of versions.
+void fleet_state::report_members(fold_effect const& effect)
 {
+    if (effect.m_replaced_state || !m_has_reported_members)
+    {
+        m_has_reported_members = true;
+        m_freshness.set_history(get_member_history(state()));
+        return;
+    }
+    if (!effect.m_members_changed)
+    {
+        return;
+    }
     m_freshness.set_members(version(), state().m_members);
+    member_change const& change = state().m_member_changes.back();
+    if (change.m_left && change.m_left_ended)
+    {
+        m_freshness.note_ended(*change.m_left);
+    }
 }
 
 void fleet_state::log_answered(
@@ -163,11 +176,11 @@
     }
     if (!m_outbox.has_sent_state())
     {
-        m_outbox.send_whole(state());
-        report_members();
-        m_freshness.set_version(version());
-        m_members_changed = true;
+        fold_effect effect;
+        effect.m_replaced_state = true;
+        take_effect(effect);
     }
+    m_freshness.note_stable(m_log.known_stable_version());
     if (std::exchange(m_members_changed, false))
     {
         m_membership.set_members(now, state().m_members);
@@ -211,7 +224,9 @@
     }
     if (m_log.has_state())
     {
+        m_freshness.self_confirmed(now);
         m_outbox.resend(state());
+        publish(now);
     }
 }
 
@@ -227,19 +242,6 @@
         });
 }
 
-bool fleet_state::is_replaced() const
-{
-    auto const& members = state().m_members;
-    return m_was_member &&
-           std::ranges::any_of(
-               members,
-               [&](member const& entry)
-               {
-                   return entry.m_vm == m_self.m_vm &&
-                          entry.m_incarnation != m_self.m_incarnation;
-               });
-}
-
 time_point fleet_state::valid_until() const
 {
     if (m_is_fenced || !m_log.has_state())
@@ -249,17 +251,18 @@
     return m_freshness.valid_until();
 }
 
-std::optional<member> fleet_state::find_member(vm_id const& vm) const
+std::optional<member>
+fleet_state::identify(vm_id const& vm, incarnation process) const
 {
     auto const& members = state().m_members;
     auto const found = std::ranges::find(members, vm, &member::m_vm);
     if (found != members.end())
     {
-        return *found;
+        return member{vm, process, found->m_failure_domain};
     }
     if (auto const listed = m_membership.find(vm))
     {
-        return member{vm, 0, listed->m_failure_domain};
+        return member{vm, process, listed->m_failure_domain};
     }
     return std::nullopt;
 }
--- a/src/fleet_state.hpp
+++ b/src/fleet_state.hpp
@@ -92,14 +92,13 @@
     /// This incarnation is a member.
     [[nodiscard]] bool is_member() const;
 
-    /// Another incarnation of this VM took this one's place.
-    [[nodiscard]] bool is_replaced() const;
-
     /// Until when requests may be admitted; the epoch if not at all.
     [[nodiscard]] time_point valid_until() const;
 
-    /// The member of this VM id, or what the VM list knows of it.
-    [[nodiscard]] std::optional<member> find_member(vm_id const& vm) const;
+    /// A process with the failure domain that the members or the VM list
+    /// give; nullopt for a VM that neither has.
+    [[nodiscard]] std::optional<member>
+    identify(vm_id const& vm, incarnation process) const;
 
     /// Notified after each change of state, stable version or confirmation.
     [[nodiscard]] notifier& changes()
@@ -111,7 +110,7 @@
     void take_effect(fold_effect const& effect);
     void note_own_membership();
     void publish(time_point now);
-    void report_members();
+    void report_members(fold_effect const& effect);
 
     member m_self;
     traffic_outbox& m_outbox;
@@ -126,6 +125,7 @@
     bool m_is_fenced = false;
     bool m_was_fresh = false;
     bool m_members_changed = false;
+    bool m_has_reported_members = false;
 };
 
 } // namespace briarhub
--- a/src/peer_exchange.cpp
+++ b/src/peer_exchange.cpp
@@ -31,9 +31,6 @@
 /// Records in one answer; the rest is asked for again.
 constexpr std::size_t max_records_in_reply = 1000;
 
-/// A report of a silent VM counts for this long.
-constexpr std::chrono::seconds silent_report_age_limit{15};
-
 } // namespace
 
 peer_exchange::peer_exchange(
@@ -120,12 +117,6 @@
         {
             return now - entry.second.m_since > loan_timeout;
         });
-    std::erase_if(
-        m_reported_silent,
-        [&](auto const& entry)
-        {
-            return now - entry.second > silent_report_age_limit;
-        });
 }
 
 /// Members that have not acknowledged the version are probed until a majority
@@ -165,7 +156,8 @@
 {
     time_point const start = runtime_clock::now();
     auto const news = m_news.news_for(start, peer.m_id);
-    probe_message const message{own_sender(), news.m_news, own_silent(start)};
+    probe_message const message{
+        own_sender(), news.m_news, m_fleet.members().silent_vms(start)};
     std::string text = serialize(message);
     auto const result = co_await m_client.request(
         peer.m_peer_address,
@@ -196,11 +188,12 @@
     m_round_trip.record(now - start);
     peer_sender const& sender = reply.m_sender;
     m_acknowledged[sender.m_vm] = sender.m_version;
-    member const answering{
-        sender.m_vm, sender.m_incarnation, peer.m_failure_domain};
-    m_fleet.peer_answered(now, start, answering, sender.m_version);
-    receive_news(sender, reply.m_news);
-    note_silent(reply);
+    auto const answering = m_fleet.identify(sender.m_vm, sender.m_incarnation);
+    if (answering)
+    {
+        m_fleet.peer_answered(now, start, *answering, sender.m_version);
+    }
+    receive_news(reply);
     if (sender.m_version > own_sender().m_version)
     {
         start_fetch(peer);
@@ -375,11 +368,6 @@
     m_news.add_suspects(runtime_clock::now(), items);
 }
 
-bool peer_exchange::is_reported_silent(vm_id const& vm) const
-{
-    return m_reported_silent.contains(vm);
-}
-
 void peer_exchange::handle(
     std::string_view path, std::string_view text, peer_responder respond)
 {
@@ -417,8 +405,7 @@
     }
     time_point const now = runtime_clock::now();
     peer_sender const& sender = probe->m_sender;
-    receive_news(sender, probe->m_news);
-    note_silent(*probe);
+    receive_news(*probe);
     if (sender.m_version > own_sender().m_version)
     {
         m_acknowledged[sender.m_vm] = sender.m_version;
@@ -430,7 +417,9 @@
     auto news = m_news.news_for(now, sender.m_vm);
     m_news.delivered(sender.m_vm, news.m_through);
     return serialize_reply(
-        {own_sender(), std::move(news.m_news), own_silent(now)});
+        {own_sender(),
+         std::move(news.m_news),
+         m_fleet.members().silent_vms(now)});
 }
 
 std::optional<std::string> peer_exchange::answer_records(std::string_view text)
@@ -505,44 +494,26 @@
     return std::string{};
 }
 
-void peer_exchange::receive_news(
-    peer_sender const& sender, peer_news const& news)
+void peer_exchange::receive_news(probe_message const& message)
 {
-    auto reporter = m_fleet.find_member(sender.m_vm);
-    if (reporter && !news.m_evidence.empty())
+    time_point const now = runtime_clock::now();
+    peer_sender const& sender = message.m_sender;
+    auto reporter = m_fleet.identify(sender.m_vm, sender.m_incarnation);
+    if (!reporter)
     {
-        reporter->m_incarnation = sender.m_incarnation;
-        m_outbox.send(peer_evidence{std::move(*reporter), news.m_evidence});
+        return;
     }
-    auto added = m_news.add_suspects(runtime_clock::now(), news.m_suspects);
+    m_fleet.members().peer_reported_silent(now, *reporter, message.m_silent);
+    auto added = m_news.add_suspects(now, message.m_news.m_suspects);
     if (!added.empty())
     {
         m_outbox.send(peer_suspects{std::move(added)});
     }
-}
-
-void peer_exchange::note_silent(probe_message const& message)
-{
-    time_point const now = runtime_clock::now();
-    for (vm_id const& vm : message.m_silent)
+    if (!message.m_news.m_evidence.empty())
     {
-        m_reported_silent[vm] = now;
-    }
-}
-
-/// Members without an answer to this VM.
-std::vector<vm_id> peer_exchange::own_silent(time_point now)
-{
-    std::vector<vm_id> silent;
-    for (auto const& peer : m_fleet.members().status(now))
-    {
-        if (!peer.m_answers && peer.m_member.m_vm != m_fleet.self().m_vm &&
-            silent.size() < max_message_items)
-        {
-            silent.push_back(peer.m_member.m_vm);
-        }
+        m_outbox.send(
+            peer_evidence{std::move(*reporter), message.m_news.m_evidence});
     }
-    return silent;
 }
 
 } // namespace briarhub
--- a/src/peer_exchange.hpp
+++ b/src/peer_exchange.hpp
@@ -47,9 +47,6 @@
     void add_evidence(std::vector<evidence> const& items);
     void add_suspects(std::vector<suspect_request> const& items);
 
-    /// A peer lately reported that the VM did not answer it either.
-    [[nodiscard]] bool is_reported_silent(vm_id const& vm) const;
-
     [[nodiscard]] std::uint16_t port() const;
 
     void stop();
@@ -86,9 +83,7 @@
     std::optional<std::string> answer_loan_return(std::string_view text);
     [[nodiscard]] bool is_outdated(peer_sender const& sender) const;
 
-    void receive_news(peer_sender const& sender, peer_news const& news);
-    void note_silent(probe_message const& message);
-    [[nodiscard]] std::vector<vm_id> own_silent(time_point now);
+    void receive_news(probe_message const& message);
     void expire(time_point now);
     void count_bytes();
 
@@ -109,8 +104,6 @@
     /// Loan requests that the traffic thread has not answered yet, by peer and
     /// request id.
     std::map<std::pair<vm_id, std::uint64_t>, waiting_loan> m_waiting_loans;
-    /// When a peer reported a VM as silent, by VM.
-    std::map<vm_id, time_point> m_reported_silent;
     bool m_stopped = false;
 };
 
