--- a/src/control_admin.cpp
+++ b/src/control_admin.cpp
@@ -131,6 +131,21 @@
     return change;
 }
 
+/// A record that the fold would skip, or that the log would refuse, must not
+/// be appended: its change could never be confirmed.
+config_errors check_record(std::string const& text)
+{
+    if (text.size() > max_record_bytes)
+    {
+        return {{"operations", "the change is larger than a log record"}};
+    }
+    if (!parse_control_record(text))
+    {
+        return {{"change_id", "must be a UUID"}};
+    }
+    return {};
+}
+
 admin_reply unconfirmed(std::string const& id)
 {
     return {result_code::config_unconfirmed, json::object{{"change_id", id}}};
@@ -297,10 +312,10 @@
     if (find_change(id) == nullptr)
     {
         std::string text = to_record(control_record{std::move(change)});
-        if (text.size() > max_record_bytes)
+        auto const refusal = check_record(text);
+        if (!refusal.empty())
         {
-            co_return invalid(
-                {{"operations", "the change is larger than a log record"}});
+            co_return invalid(refusal);
         }
         auto const result =
             co_await m_platform.append(control_stream_name, std::move(text));
--- a/src/fleet_state.cpp
+++ b/src/fleet_state.cpp
@@ -156,6 +156,15 @@
     m_membership.probe_failed(now, peer);
 }
 
+void fleet_state::note_stable(time_point now, control_version version)
+{
+    if (version > stable_version())
+    {
+        m_freshness.note_stable(version);
+        publish(now);
+    }
+}
+
 /// An empty list is a fault of the platform: this VM runs, so one VM exists.
 void fleet_state::set_vms(time_point now, vm_list list)
 {
--- a/src/fleet_state.hpp
+++ b/src/fleet_state.hpp
@@ -53,6 +53,9 @@
         control_version version);
     void peer_failed(time_point now, vm_id const& peer);
 
+    /// A peer knows that a version is stable.
+    void note_stable(time_point now, control_version version);
+
     void set_vms(time_point now, vm_list list);
 
     /// Logs changes between fresh and stale and sends dropped state again.
--- a/src/news_log.cpp
+++ b/src/news_log.cpp
@@ -73,21 +73,27 @@
     }
 }
 
-news_log::batch news_log::news_for(time_point now, vm_id const& peer)
+peer_news news_log::take_for(time_point now, vm_id const& peer)
 {
     expire(now);
-    auto const found = m_delivered.find(peer);
-    std::uint64_t const after = found == m_delivered.end() ? 0 : found->second;
-    batch result{{merged_evidence(after), {}}, m_sequence};
+    cursor& given = m_cursors[peer];
+    peer_news news{merged_evidence(given.m_evidence), {}};
+    given.m_evidence = m_sequence;
     for (auto const& [sequence, at, item] : m_suspects)
     {
-        if (sequence > after &&
-            result.m_news.m_suspects.size() < max_suspect_items)
+        if (sequence > given.m_suspects &&
+            news.m_suspects.size() < max_suspect_items)
         {
-            result.m_news.m_suspects.push_back(item);
+            given.m_suspects = sequence;
+            news.m_suspects.push_back(item);
         }
     }
-    return result;
+    return news;
+}
+
+void news_log::note_lost(vm_id const& peer)
+{
+    m_cursors[peer].m_suspects = 0;
 }
 
 std::vector<evidence> news_log::merged_evidence(std::uint64_t after) const
@@ -113,10 +119,4 @@
     return items;
 }
 
-void news_log::delivered(vm_id const& peer, std::uint64_t through)
-{
-    std::uint64_t& delivered = m_delivered[peer];
-    delivered = std::max(delivered, through);
-}
-
 } // namespace briarhub
--- a/src/news_log.hpp
+++ b/src/news_log.hpp
@@ -38,18 +38,14 @@
     std::vector<suspect_request>
     add_suspects(time_point now, std::span<suspect_request const> items);
 
-    struct batch
-    {
-        peer_news m_news;
-        std::uint64_t m_through = 0; ///< for `delivered`
-    };
-
-    /// What the peer was not given yet. Evidence is only about upstreams with
-    /// bad attempts: a healthy fleet has nothing to say.
-    [[nodiscard]] batch news_for(time_point now, vm_id const& peer);
+    /// What the peer was not given yet; it counts as given then, since
+    /// evidence that arrives twice would count twice. Evidence is only about
+    /// upstreams with bad attempts: a healthy fleet has nothing to say.
+    [[nodiscard]] peer_news take_for(time_point now, vm_id const& peer);
 
-    /// The peer has the news up to `through`.
-    void delivered(vm_id const& peer, std::uint64_t through);
+    /// A message to the peer was lost. Its suspect requests are given again;
+    /// a peer that has them ignores them.
+    void note_lost(vm_id const& peer);
 
 private:
     template <class Item>
@@ -60,6 +56,13 @@
         Item m_item;
     };
 
+    /// The last entries given to a peer.
+    struct cursor
+    {
+        std::uint64_t m_evidence = 0;
+        std::uint64_t m_suspects = 0;
+    };
+
     void expire(time_point now);
     std::vector<evidence> merged_evidence(std::uint64_t after) const;
 
@@ -67,7 +70,7 @@
     std::deque<entry<evidence>> m_evidence;
     std::deque<entry<suspect_request>> m_suspects;
     std::map<std::string, std::uint32_t> m_known_suspects;
-    std::map<vm_id, std::uint64_t> m_delivered;
+    std::map<vm_id, cursor> m_cursors;
 };
 
 } // namespace briarhub
--- a/src/peer_exchange.cpp
+++ b/src/peer_exchange.cpp
@@ -77,9 +77,15 @@
 peer_sender peer_exchange::own_sender() const
 {
     member const& self = m_fleet.self();
-    control_version const version =
-        m_fleet.log().has_state() ? m_fleet.version() : 0;
-    return {self.m_vm, self.m_incarnation, version};
+    if (!m_fleet.log().has_state())
+    {
+        return {self.m_vm, self.m_incarnation, 0, 0};
+    }
+    return {
+        self.m_vm,
+        self.m_incarnation,
+        m_fleet.version(),
+        m_fleet.stable_version()};
 }
 
 boost::asio::awaitable<void> peer_exchange::run_probes()
@@ -155,9 +161,10 @@
 boost::asio::awaitable<void> peer_exchange::probe(entry_vm peer)
 {
     time_point const start = runtime_clock::now();
-    auto const news = m_news.news_for(start, peer.m_id);
     probe_message const message{
-        own_sender(), news.m_news, m_fleet.members().silent_vms(start)};
+        own_sender(),
+        m_news.take_for(start, peer.m_id),
+        m_fleet.members().silent_vms(start)};
     std::string text = serialize(message);
     auto const result = co_await m_client.request(
         peer.m_peer_address,
@@ -174,10 +181,10 @@
     // Another VM may have got the address of one that is gone.
     if (!reply || reply->m_sender.m_vm != peer.m_id)
     {
+        m_news.note_lost(peer.m_id);
         m_fleet.peer_failed(runtime_clock::now(), peer.m_id);
         co_return;
     }
-    m_news.delivered(peer.m_id, news.m_through);
     take_reply(peer, start, std::move(*reply));
 }
 
@@ -414,11 +421,9 @@
             start_fetch(*peer);
         }
     }
-    auto news = m_news.news_for(now, sender.m_vm);
-    m_news.delivered(sender.m_vm, news.m_through);
     return serialize_reply(
         {own_sender(),
-         std::move(news.m_news),
+         m_news.take_for(now, sender.m_vm),
          m_fleet.members().silent_vms(now)});
 }
 
@@ -503,6 +508,7 @@
     {
         return;
     }
+    m_fleet.note_stable(now, sender.m_stable);
     m_fleet.members().peer_reported_silent(now, *reporter, message.m_silent);
     auto added = m_news.add_suspects(now, message.m_news.m_suspects);
     if (!added.empty())
--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -38,6 +38,7 @@
     to.set_vm(from.m_vm);
     to.set_incarnation(from.m_incarnation);
     to.set_version(from.m_version);
+    to.set_stable(from.m_stable);
 }
 
 std::optional<peer_sender> read(wire::Sender const& from)
@@ -46,7 +47,8 @@
     {
         return std::nullopt;
     }
-    return peer_sender{from.vm(), from.incarnation(), from.version()};
+    return peer_sender{
+        from.vm(), from.incarnation(), from.version(), from.stable()};
 }
 
 void write(wire::News& to, peer_news const& from)
--- a/src/peer_messages.hpp
+++ b/src/peer_messages.hpp
@@ -33,6 +33,7 @@
     vm_id m_vm;
     incarnation m_incarnation = 0;
     control_version m_version = 0;
+    control_version m_stable = 0; ///< the highest version known to be stable
 
     friend bool operator==(peer_sender const&, peer_sender const&) = default;
 };
