--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -225,6 +225,7 @@
     write(*wire.mutable_sender(), message.m_sender);
     wire.set_account(message.m_content.m_account);
     wire.set_request_id(message.m_content.m_request_id);
+    wire.set_renewed_loan(message.m_content.m_renewed_loan);
     wire.set_fraction(message.m_content.m_fraction);
     wire.set_tokens(message.m_content.m_tokens);
     return wire.SerializeAsString();
@@ -315,6 +316,7 @@
         std::move(*sender),
         {wire->account(),
          wire->request_id(),
+         wire->renewed_loan(),
          wire->fraction(),
          wire->tokens()}};
 }
