--- a/src/claim_table.cpp
+++ b/src/claim_table.cpp
@@ -443,6 +443,7 @@
 
 void claim_table::set_covered_since(wall_time since)
 {
+    m_is_from_start = since == wall_time{};
     m_covered_since = since + max_key_lead;
 }
 
@@ -456,6 +457,12 @@
     return m_next_offset;
 }
 
+bool claim_table::needs_marker() const
+{
+    bool const is_known = m_covered_since != wall_time::max();
+    return is_known && m_next_offset == 0 && !m_is_from_start;
+}
+
 std::optional<claim_view> claim_table::find(claim_name const& name) const
 {
     auto const key = find_key(name);
--- a/src/claim_table.hpp
+++ b/src/claim_table.hpp
@@ -131,6 +131,10 @@
 
     [[nodiscard]] log_offset next_offset() const;
 
+    /// True if the stream was read to its end, older records were trimmed and
+    /// none is left. The table then covers no key until a record is appended.
+    [[nodiscard]] bool needs_marker() const;
+
     /// The claim that holds the name, if any.
     [[nodiscard]] std::optional<claim_view> find(claim_name const& name) const;
 
@@ -212,6 +216,7 @@
     std::vector<std::pair<vm_id, incarnation> const*> m_authors;
     log_offset m_next_offset = 0;
     wall_time m_covered_since = wall_time::max();
+    bool m_is_from_start = false; ///< no record of the stream was trimmed
 };
 
 } // namespace briarhub
--- a/src/claim_writer.cpp
+++ b/src/claim_writer.cpp
@@ -175,7 +175,8 @@
 
 std::optional<std::string> claim_writer::take_append(time_point now)
 {
-    if (!m_in_flight.empty() || m_unsent.empty() || now < m_next_append)
+    bool const has_content = !m_unsent.empty() || m_wants_marker;
+    if (m_is_appending || !has_content || now < m_next_append)
     {
         return std::nullopt;
     }
@@ -192,6 +193,8 @@
     }
     set_stage_in_flight(claim_stage::in_flight);
     m_next_append = now + append_interval();
+    m_is_appending = true;
+    m_wants_marker = false;
     return to_record(m_in_flight);
 }
 
@@ -232,6 +235,7 @@
 void claim_writer::end_append(time_point now, std::chrono::nanoseconds wait)
 {
     m_in_flight.clear();
+    m_is_appending = false;
     m_next_append = std::max(m_next_append, now + wait);
 }
 
@@ -266,6 +270,7 @@
 claim_writer::poll(time_point now, claim_table const& table)
 {
     release_abandoned(table);
+    request_marker(now, table);
     std::vector<claim_decision> decisions;
     std::vector<pending_claim> undecided;
     for (pending_claim& pending : m_pending)
@@ -306,6 +311,26 @@
     }
 }
 
+/// The interval differs between VMs, so that mostly one of them appends.
+void claim_writer::request_marker(time_point now, claim_table const& table)
+{
+    constexpr incarnation spread = 64;
+    auto const own_part = marker_interval * (m_self.m_incarnation % spread);
+    auto const interval = marker_interval + own_part / spread;
+    bool const has_changed = table.next_offset() != m_last_folded;
+    if (!m_last_folded_at || has_changed)
+    {
+        m_last_folded = table.next_offset();
+        m_last_folded_at = now;
+    }
+    bool const is_quiet = now >= *m_last_folded_at + interval;
+    if ((is_quiet || table.needs_marker()) && now >= m_next_marker)
+    {
+        m_wants_marker = true;
+        m_next_marker = now + marker_retry_interval;
+    }
+}
+
 /// Makes sure that the claim of the present attempt is never run.
 void claim_writer::give_up(pending_claim& pending, claim_table const& table)
 {
@@ -492,7 +517,8 @@
 
 time_point claim_writer::next_poll() const
 {
-    bool const can_append = m_in_flight.empty() && !m_unsent.empty();
+    bool const has_content = !m_unsent.empty() || m_wants_marker;
+    bool const can_append = !m_is_appending && has_content;
     time_point next = can_append ? m_next_append : time_point::max();
     for (pending_claim const& pending : m_pending)
     {
--- a/src/claim_writer.hpp
+++ b/src/claim_writer.hpp
@@ -68,6 +68,14 @@
 /// the platform's limit of 256 KiB.
 inline constexpr std::size_t max_batch_bytes = 128 * 1024;
 
+/// If no record was folded for this long, an empty one is appended. A VM that
+/// starts covers the time from the oldest record kept, so that a stream without
+/// records would make it refuse every key.
+inline constexpr std::chrono::minutes marker_interval{10};
+
+/// Time for an empty record to be appended and folded.
+inline constexpr std::chrono::seconds marker_retry_interval{5};
+
 /// A `not_run` refusal means that this attempt sent nothing and never will. If
 /// the table holds the claim of another attempt with the same digest, the
 /// request is never refused as `not_run`.
@@ -155,6 +163,7 @@
     void keep_in_flight();
     void end_append(time_point now, std::chrono::nanoseconds wait);
     void release_abandoned(claim_table const& table);
+    void request_marker(time_point now, claim_table const& table);
     void give_up(pending_claim& pending, claim_table const& table);
     static bool
     is_owner(pending_claim const& pending, claim_table const& table);
@@ -186,6 +195,11 @@
     /// Abandoned claims before this offset were looked for.
     log_offset m_searched = 0;
     time_point m_next_append = time_point::min();
+    bool m_is_appending = false;
+    bool m_wants_marker = false;
+    log_offset m_last_folded = 0; ///< the table's next offset at the last poll
+    std::optional<time_point> m_last_folded_at;
+    time_point m_next_marker = time_point::min();
 };
 
 } // namespace briarhub
--- a/tests/claim_test.cpp
+++ b/tests/claim_test.cpp
@@ -319,6 +319,26 @@
     CHECK_FALSE(m_table.find(early));
 }
 
+TEST_CASE_FIXTURE(fixture, "a quiet stream gets a record from time to time")
+{
+    // A VM that starts on a trimmed, empty stream would refuse every key.
+    m_table = claim_table{};
+    m_table.set_covered_since(wall_start);
+    poll();
+    std::string const marker = take();
+    REQUIRE_FALSE(marker.empty());
+    m_table.fold({5, wall_start, marker});
+    m_writer.append_succeeded(m_now, 5);
+    CHECK(m_table.covered_since() == wall_start + max_key_lead);
+    poll();
+    m_now += marker_interval / 2;
+    poll();
+    CHECK(take().empty());
+    m_now += 2 * marker_interval;
+    poll();
+    CHECK_FALSE(take().empty());
+}
+
 TEST_CASE_FIXTURE(fixture, "appends stay within the fleet's budget")
 {
     // Guards against 36 VMs that exceed what the log takes.
