--- a/src/briar_bench_main.cpp
+++ b/src/briar_bench_main.cpp
@@ -2,6 +2,7 @@
 /// and prints figures and their signature.
 
 #include "bench_result.hpp"
+#include "claim_bench.hpp"
 #include "rate_bench.hpp"
 
 #include <cxxopts.hpp>
@@ -32,6 +33,12 @@
         "rates",
         "refusals within rate, excess and messages of rate shares",
         run_rate_bench},
+    subcommand{
+        "claims", "appends, latency and memory of claims", run_claim_bench},
+    subcommand{
+        "claims-cost",
+        "resident memory and fold time of claims; differ between runs",
+        run_claim_cost_bench},
 };
 
 subcommand const* find_subcommand(std::string_view name)
@@ -51,7 +58,7 @@
     std::string text = options.help() + "\nSubcommands:\n";
     for (subcommand const& entry : subcommands)
     {
-        text += fmt::format("  {:<10} {}\n", entry.m_name, entry.m_text);
+        text += fmt::format("  {:<12} {}\n", entry.m_name, entry.m_text);
     }
     return text;
 }
