--- a/src/config.cpp
+++ b/src/config.cpp
@@ -619,6 +619,9 @@
     using Functions::operator()...;
 };
 
+template <class... Functions>
+overloaded(Functions...) -> overloaded<Functions...>;
+
 constexpr std::array<std::string_view, std::variant_size_v<config_operation>>
     operation_names = {
         "put_service",
--- a/src/control_log.cpp
+++ b/src/control_log.cpp
@@ -524,8 +524,8 @@
         {"through_offset", record.m_through_offset},
         {"stable_version", record.m_stable_version},
         {"state", to_json_value(record.m_state)}};
-    std::string digest = sha256_of(json::serialize(result));
-    result["digest"] = std::move(digest);
+    std::string const digest = sha256_of(json::serialize(result));
+    result["digest"] = digest;
     return result;
 }
 
--- a/src/freshness.cpp
+++ b/src/freshness.cpp
@@ -247,6 +247,7 @@
         return every_version;
     }
     std::vector<control_version> versions;
+    versions.reserve(members.size());
     for (member const& m : members)
     {
         versions.push_back(version_of(m));
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -153,8 +153,9 @@
     }
     std::ranges::shuffle(m_round, m_random);
     // The round is taken from its end.
-    std::ranges::stable_partition(
-        m_round,
+    std::stable_partition(
+        m_round.begin(),
+        m_round.end(),
         [&](vm_id const& vm)
         {
             return find(vm)->m_failure_domain != m_self.m_failure_domain;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -5,6 +5,7 @@
 
 #include <doctest/doctest.h>
 
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <random>
@@ -15,11 +16,17 @@
 namespace
 {
 
+/// The test may run in any directory below the repository's root.
 std::string read_example(std::string const& name)
 {
-    std::string const here = __FILE__;
-    std::string const root = here.substr(0, here.rfind("tests/"));
-    std::ifstream file{root + "examples/" + name + ".json"};
+    namespace fs = std::filesystem;
+    std::string const path = "examples/" + name + ".json";
+    fs::path root = fs::current_path();
+    while (!fs::exists(root / path) && root.has_relative_path())
+    {
+        root = root.parent_path();
+    }
+    std::ifstream file{root / path};
     return {std::istreambuf_iterator<char>{file}, {}};
 }
 
--- a/tests/freshness_test.cpp
+++ b/tests/freshness_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -206,6 +207,7 @@
     {
         for (unsigned i = 0; i < vm_count; ++i)
         {
+            m_links[i].fill(true);
             start_vm(i);
         }
     }
@@ -527,13 +529,7 @@
     std::vector<std::unique_ptr<node>> m_nodes;
     std::vector<message> m_messages;
     std::map<control_version, time_point> m_stable_since;
-    bool m_links[vm_count][vm_count] = {
-        {true, true, true, true, true, true},
-        {true, true, true, true, true, true},
-        {true, true, true, true, true, true},
-        {true, true, true, true, true, true},
-        {true, true, true, true, true, true},
-        {true, true, true, true, true, true}};
+    std::array<std::array<bool, vm_count>, vm_count> m_links{};
 };
 
 constexpr std::uint32_t first_seed = 500;
