--- a/tests/stand_ins/upstream_stand_in.hpp
+++ b/tests/stand_ins/upstream_stand_in.hpp
@@ -341,7 +341,7 @@
                 R"({"error":"fault"})");
             break;
         case fault_kind::wrong:
-            answer.set(request_id_field, m_other_request_id);
+            answer.set(request_id_field, other_request_id(message));
             break;
         case fault_kind::crossed:
             co_await cross(connection, answer);
@@ -365,6 +365,14 @@
         co_await write(connection, answer);
     }
 
+    /// The id of the request before this one, or an invented one.
+    [[nodiscard]] std::string other_request_id(request const& message) const
+    {
+        return message[request_id_field] == m_other_request_id
+                   ? "another-request"
+                   : m_other_request_id;
+    }
+
     // Slots.
 
     /// Takes a slot, waits for one in a short queue, or refuses.
@@ -815,7 +823,7 @@
     fault_command m_fault;
     time_point m_fault_since{};
     session* m_parked = nullptr;
-    std::string m_other_request_id = "another-request";
+    std::string m_other_request_id;
 
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     std::vector<run_record> m_runs;
