--- a/src/load_client.cpp
+++ b/src/load_client.cpp
@@ -150,32 +150,40 @@
         }
     }
 
-    template <class Items>
-    auto const& choose_weighted(Items const& items)
+    load_account const& choose_account()
     {
-        double sum = 0;
-        for (auto const& item : items)
+        std::vector<double> weights;
+        for (load_account const& account : m_options.m_accounts)
         {
-            sum += item.m_weight;
+            weights.push_back(account.m_weight);
         }
-        std::uniform_real_distribution<double> chance{0, sum};
-        double left = chance(m_random);
-        for (auto const& item : items)
+        return m_options.m_accounts[choose_weighted(weights)];
+    }
+
+    /// A class that the account may use.
+    load_class const& choose_class(load_account const& account)
+    {
+        std::vector<double> weights;
+        for (load_class const& work : m_options.m_classes)
         {
-            left -= item.m_weight;
-            if (left < 0)
-            {
-                return item;
-            }
+            bool const open = is_open_to(work, account.m_name);
+            weights.push_back(open ? work.m_weight : 0.0);
         }
-        return items.back();
+        return m_options.m_classes[choose_weighted(weights)];
+    }
+
+    std::size_t choose_weighted(std::vector<double> const& weights)
+    {
+        std::discrete_distribution<std::size_t> choice{
+            weights.begin(), weights.end()};
+        return choice(m_random);
     }
 
     job make_job(time_point arrival)
     {
         job work;
-        work.m_class = &choose_weighted(m_options.m_classes);
-        work.m_account = &choose_weighted(m_options.m_accounts);
+        work.m_account = &choose_account();
+        work.m_class = &choose_class(*work.m_account);
         work.m_number = ++m_last_number;
         work.m_arrival = arrival;
         work.m_target = choose_target(work);
--- a/src/load_mix.cpp
+++ b/src/load_mix.cpp
@@ -9,6 +9,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <stdexcept>
 
@@ -19,56 +20,64 @@
 
 using std::chrono::milliseconds;
 
+/// The classes of examples/kairouan.json.
 load_classes kairouan_mix()
 {
-    return {
-        {"balance", "GET", "/balances/{n}", 70, milliseconds{300}},
-        {"repayment",
-         "POST",
-         "/repayments",
-         20,
-         milliseconds{1000},
-         false,
-         false,
-         200},
-        {"fee-waiver",
-         "POST",
-         "/fee-waivers",
-         5,
-         milliseconds{1000},
-         false,
-         false,
-         200},
-        {"statement-archive",
-         "GET",
-         "/archives/{account}/{month}",
-         5,
-         milliseconds{5000},
-         true,
-         true},
-    };
+    load_class balance;
+    balance.m_name = "balance-lookup";
+    balance.m_path = "/balances/{n}";
+    balance.m_weight = 70;
+    balance.m_latency_target = milliseconds{300};
+
+    load_class repayment;
+    repayment.m_name = "repayment";
+    repayment.m_method = "POST";
+    repayment.m_path = "/repayments";
+    repayment.m_weight = 20;
+    repayment.m_latency_target = milliseconds{800};
+    repayment.m_idempotent = false;
+    repayment.m_body_bytes = 200;
+
+    load_class waiver = repayment;
+    waiver.m_name = "fee-waiver";
+    waiver.m_path = "/fee-waivers";
+    waiver.m_weight = 5;
+    waiver.m_accounts = {"agents-kairouan", "agents-sousse"};
+
+    load_class archive;
+    archive.m_name = "statement-archive";
+    archive.m_path = "/statements/archive/{account}/{month}";
+    archive.m_weight = 5;
+    archive.m_latency_target = milliseconds{3000};
+    archive.m_archive = true;
+    return {balance, repayment, waiver, archive};
 }
 
+/// The classes of examples/kolamba.json.
 load_classes kolamba_mix()
 {
-    return {
-        {"preview", "GET", "/previews/{n}", 70, milliseconds{300}},
-        {"engraving",
-         "POST",
-         "/engravings",
-         25,
-         milliseconds{1000},
-         false,
-         false,
-         400},
-        {"proof-archive",
-         "GET",
-         "/proof-sheets/{account}/{month}",
-         5,
-         milliseconds{5000},
-         true,
-         true},
-    };
+    load_class preview;
+    preview.m_name = "preview";
+    preview.m_path = "/previews/{n}";
+    preview.m_weight = 70;
+    preview.m_latency_target = milliseconds{250};
+
+    load_class order;
+    order.m_name = "engraving-order";
+    order.m_method = "POST";
+    order.m_path = "/engraving-orders";
+    order.m_weight = 25;
+    order.m_latency_target = milliseconds{600};
+    order.m_idempotent = false;
+    order.m_body_bytes = 400;
+
+    load_class archive;
+    archive.m_name = "proof-archive";
+    archive.m_path = "/proof-sheets/{account}/{month}";
+    archive.m_weight = 5;
+    archive.m_latency_target = milliseconds{3000};
+    archive.m_archive = true;
+    return {preview, order, archive};
 }
 
 /// Reads one field of a class. Throws for a wrong type or an unknown name.
@@ -107,6 +116,11 @@
     {
         work.m_body_bytes = value.to_number<std::size_t>();
     }
+    else if (name == "accounts")
+    {
+        work.m_accounts =
+            boost::json::value_to<std::vector<std::string>>(value);
+    }
     else
     {
         throw std::invalid_argument("unknown field " + std::string{name});
@@ -198,6 +212,12 @@
     return accounts;
 }
 
+bool is_open_to(load_class const& work, std::string_view account)
+{
+    return work.m_accounts.empty() ||
+           std::ranges::find(work.m_accounts, account) != work.m_accounts.end();
+}
+
 std::string make_path(
     load_class const& work, std::string_view account, std::uint64_t number)
 {
--- a/src/load_mix.hpp
+++ b/src/load_mix.hpp
@@ -27,6 +27,8 @@
     bool m_idempotent = true;
     bool m_archive = false;
     std::size_t m_body_bytes = 0;
+    /// Accounts that send it; empty: all.
+    std::vector<std::string> m_accounts;
 };
 
 struct load_account
@@ -54,6 +56,8 @@
 /// Reads `name=key:weight,...`; the weight may be left out.
 std::variant<load_accounts, load_error> parse_accounts(std::string_view text);
 
+bool is_open_to(load_class const& work, std::string_view account);
+
 /// The path of one request.
 std::string make_path(
     load_class const& work, std::string_view account, std::uint64_t number);
