--- a/tests/traffic_harness.hpp
+++ b/tests/traffic_harness.hpp
@@ -17,6 +17,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
 #include <boost/json/parse.hpp>
 
 #include <doctest/doctest.h>
@@ -24,6 +25,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <vector>
 
