--- a/src/control_stream.cpp
+++ b/src/control_stream.cpp
@@ -68,7 +68,7 @@
         {
             note_log(false, error->m_message);
             time_point const retry_at = runtime_clock::now() + retry_interval;
-            co_await m_fleet.changes().wait_until(retry_at);
+            co_await sleep_until(retry_at);
             continue;
         }
         note_log(true, {});
@@ -76,6 +76,16 @@
     }
 }
 
+/// Other waits may end early at each change; this one must not, so that a log
+/// that refuses at once is not asked all the time.
+boost::asio::awaitable<void> control_stream::sleep_until(time_point wake_at)
+{
+    while (!m_stopped && runtime_clock::now() < wake_at)
+    {
+        co_await m_fleet.changes().wait_until(wake_at);
+    }
+}
+
 void control_stream::note_log(bool is_up, std::string const& reason)
 {
     if (is_up == m_log_is_up)
@@ -149,18 +159,14 @@
     co_return true;
 }
 
-boost::asio::awaitable<void> control_stream::append(control_record record)
+/// True if the log acknowledged the record.
+boost::asio::awaitable<bool> control_stream::append(control_record record)
 {
     std::string text = to_record(record);
     auto const result =
         co_await m_platform.append(control_stream_name, std::move(text));
     m_last_append = runtime_clock::now();
-    auto const* const error = std::get_if<platform_error>(&result);
-    if (error != nullptr && error->m_code != result_code::log_append_unknown)
-    {
-        // Without effect; the next attempt waits for the next read only.
-        spdlog::debug("append to the control stream: {}", error->m_message);
-    }
+    co_return std::holds_alternative<log_offset>(result);
 }
 
 std::optional<control_record> control_stream::next_record(time_point now)
@@ -236,7 +242,11 @@
     {
         if (may_append() && (!appended || m_fleet.is_member()))
         {
-            co_await append(record);
+            bool const acknowledged = co_await append(record);
+            if (acknowledged)
+            {
+                co_return;
+            }
             appended = true;
         }
         else if (may_append())
--- a/src/fleet_state.cpp
+++ b/src/fleet_state.cpp
@@ -59,6 +59,10 @@
 
 void fleet_state::fold(time_point now, std::span<log_record const> records)
 {
+    if (records.empty())
+    {
+        return;
+    }
     std::vector<member> const before = state().m_members;
     for (log_record const& record : records)
     {
--- a/src/news_log.cpp
+++ b/src/news_log.cpp
@@ -1,5 +1,7 @@
 #include "news_log.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace briarhub
@@ -36,6 +38,11 @@
 
 } // namespace
 
+news_log::news_log(member const& self)
+    : m_own_origin(fmt::format("{}/{:016x}", self.m_vm, self.m_incarnation))
+{
+}
+
 void news_log::add_evidence(time_point now, std::span<evidence const> items)
 {
     for (evidence const& item : items)
@@ -45,32 +52,61 @@
     expire(now);
 }
 
+void news_log::add_suspects(
+    time_point now, std::span<suspect_request const> items)
+{
+    expire(now);
+    for (suspect_request const& item : items)
+    {
+        std::uint32_t const before = known_total(m_own_origin, item.m_digest);
+        set_total(now, m_own_origin, item.m_digest, before + item.m_crashes);
+    }
+}
+
 std::vector<suspect_request>
-news_log::add_suspects(time_point now, std::span<suspect_request const> items)
+news_log::receive(time_point now, std::span<reported_suspect const> items)
 {
     expire(now);
     std::vector<suspect_request> added;
-    for (suspect_request const& item : items)
+    for (reported_suspect const& item : items)
     {
-        std::uint32_t& known = m_known_suspects[item.m_digest];
-        if (item.m_crashes > known)
+        std::uint32_t const before = known_total(item.m_origin, item.m_digest);
+        if (item.m_origin != m_own_origin && item.m_total_crashes > before)
         {
-            known = item.m_crashes;
-            m_suspects.push_back({++m_sequence, now, item});
-            added.push_back(item);
+            added.push_back({item.m_digest, item.m_total_crashes - before});
+            set_total(now, item.m_origin, item.m_digest, item.m_total_crashes);
         }
     }
     return added;
 }
 
+std::uint32_t news_log::known_total(
+    std::string const& origin, std::string const& digest) const
+{
+    auto const found = m_totals.find({origin, digest});
+    return found == m_totals.end() ? 0 : found->second.m_crashes;
+}
+
+void news_log::set_total(
+    time_point now,
+    std::string const& origin,
+    std::string const& digest,
+    std::uint32_t total)
+{
+    m_totals[{origin, digest}] = {total, now};
+    m_suspects.push_back({++m_sequence, now, {origin, digest, total}});
+}
+
 void news_log::expire(time_point now)
 {
     drop_old(m_evidence, now - evidence_age_limit);
     drop_old(m_suspects, now - suspect_age_limit);
-    if (m_suspects.empty())
-    {
-        m_known_suspects.clear();
-    }
+    std::erase_if(
+        m_totals,
+        [&](auto const& known)
+        {
+            return now - known.second.m_at > known_total_age_limit;
+        });
 }
 
 peer_news news_log::take_for(time_point now, vm_id const& peer)
--- a/src/news_log.hpp
+++ b/src/news_log.hpp
@@ -14,10 +14,16 @@
 #include <map>
 #include <span>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace briarhub
 {
 
+/// What is known of an origin's crashes is kept for this long, so that a late
+/// copy of old news is not taken for new.
+inline constexpr std::chrono::minutes known_total_age_limit{10};
+
 /// Evidence older than this is not passed on.
 inline constexpr std::chrono::seconds evidence_age_limit{10};
 
@@ -31,12 +37,17 @@
 class news_log
 {
 public:
+    explicit news_log(member const& self);
+
     void add_evidence(time_point now, std::span<evidence const> items);
 
-    /// Returns the items that say more than what was known before; only these
-    /// are passed on, so that news stops to circulate.
+    /// Crashes that this VM saw since the last call.
+    void add_suspects(time_point now, std::span<suspect_request const> items);
+
+    /// A peer's news. Returns the crashes that were not known before; only
+    /// these are passed on, so that news stops to circulate.
     std::vector<suspect_request>
-    add_suspects(time_point now, std::span<suspect_request const> items);
+    receive(time_point now, std::span<reported_suspect const> items);
 
     /// What the peer was not given yet; it counts as given then, since
     /// evidence that arrives twice would count twice. Evidence is only about
@@ -63,13 +74,29 @@
         std::uint64_t m_suspects = 0;
     };
 
+    struct crash_total
+    {
+        std::uint32_t m_crashes = 0;
+        time_point m_at{};
+    };
+
+    using origin_and_digest = std::pair<std::string, std::string>;
+
+    [[nodiscard]] std::uint32_t
+    known_total(std::string const& origin, std::string const& digest) const;
+    void set_total(
+        time_point now,
+        std::string const& origin,
+        std::string const& digest,
+        std::uint32_t total);
     void expire(time_point now);
     std::vector<evidence> merged_evidence(std::uint64_t after) const;
 
+    std::string m_own_origin;
     std::uint64_t m_sequence = 0;
     std::deque<entry<evidence>> m_evidence;
-    std::deque<entry<suspect_request>> m_suspects;
-    std::map<std::string, std::uint32_t> m_known_suspects;
+    std::deque<entry<reported_suspect>> m_suspects;
+    std::map<origin_and_digest, crash_total> m_totals;
     std::map<vm_id, cursor> m_cursors;
 };
 
--- a/src/peer_exchange.cpp
+++ b/src/peer_exchange.cpp
@@ -57,7 +57,7 @@
                         {
                             handle(path, text, std::move(respond));
                         }),
-      m_wakeup(io)
+      m_wakeup(io), m_news(fleet.self())
 {
 }
 
@@ -85,7 +85,7 @@
         self.m_vm,
         self.m_incarnation,
         m_fleet.version(),
-        m_fleet.stable_version()};
+        std::min(m_fleet.version(), m_fleet.stable_version())};
 }
 
 boost::asio::awaitable<void> peer_exchange::run_probes()
@@ -97,6 +97,7 @@
         {
             start_probe(peer);
         }
+        m_silent = m_fleet.members().silent_vms(now);
         m_fleet.tick(now);
         m_client.close_idle(now, connection_idle_limit);
         expire(now);
@@ -136,10 +137,13 @@
         std::size_t started = 0;
         for (member const& entry : m_fleet.state().m_members)
         {
-            auto const peer = m_fleet.members().find(entry.m_vm);
-            if (peer && entry.m_vm != m_fleet.self().m_vm &&
-                m_acknowledged[entry.m_vm] < version &&
-                started < max_probes_at_once)
+            if (entry.m_vm == m_fleet.self().m_vm ||
+                m_acknowledged[entry.m_vm] >= version ||
+                started >= max_probes_at_once)
+            {
+                continue;
+            }
+            if (auto const peer = m_fleet.members().find(entry.m_vm))
             {
                 start_probe(*peer);
                 ++started;
@@ -162,9 +166,7 @@
 {
     time_point const start = runtime_clock::now();
     probe_message const message{
-        own_sender(),
-        m_news.take_for(start, peer.m_id),
-        m_fleet.members().silent_vms(start)};
+        own_sender(), m_news.take_for(start, peer.m_id), m_silent};
     std::string text = serialize(message);
     auto const result = co_await m_client.request(
         peer.m_peer_address,
@@ -422,9 +424,7 @@
         }
     }
     return serialize_reply(
-        {own_sender(),
-         m_news.take_for(now, sender.m_vm),
-         m_fleet.members().silent_vms(now)});
+        {own_sender(), m_news.take_for(now, sender.m_vm), m_silent});
 }
 
 std::optional<std::string> peer_exchange::answer_records(std::string_view text)
@@ -510,7 +510,7 @@
     }
     m_fleet.note_stable(now, sender.m_stable);
     m_fleet.members().peer_reported_silent(now, *reporter, message.m_silent);
-    auto added = m_news.add_suspects(now, message.m_news.m_suspects);
+    auto added = m_news.receive(now, message.m_news.m_suspects);
     if (!added.empty())
     {
         m_outbox.send(peer_suspects{std::move(added)});
--- a/src/peer_exchange.hpp
+++ b/src/peer_exchange.hpp
@@ -98,6 +98,7 @@
     peer_server m_server;
     notifier m_wakeup;
     news_log m_news;
+    std::vector<vm_id> m_silent; ///< told to peers, refreshed at each round
     std::set<vm_id> m_probing;
     std::set<vm_id> m_fetching;
     std::map<vm_id, control_version> m_acknowledged;
--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -43,7 +43,7 @@
 
 std::optional<peer_sender> read(wire::Sender const& from)
 {
-    if (!is_name(from.vm()))
+    if (!is_name(from.vm()) || from.stable() > from.version())
     {
         return std::nullopt;
     }
@@ -62,11 +62,12 @@
         added.set_error(item.m_error);
         added.set_wrong(item.m_wrong);
     }
-    for (suspect_request const& item : from.m_suspects)
+    for (reported_suspect const& item : from.m_suspects)
     {
         wire::SuspectRequest& added = *to.add_suspects();
+        added.set_origin(item.m_origin);
         added.set_digest(item.m_digest);
-        added.set_crashes(item.m_crashes);
+        added.set_crashes(item.m_total_crashes);
     }
 }
 
@@ -98,11 +99,12 @@
     }
     for (wire::SuspectRequest const& item : from.suspects())
     {
-        if (!is_name(item.digest()))
+        if (!is_name(item.digest()) || !is_name(item.origin()))
         {
             return std::nullopt;
         }
-        news.m_suspects.push_back({item.digest(), item.crashes()});
+        news.m_suspects.push_back(
+            {item.origin(), item.digest(), item.crashes()});
     }
     return news;
 }
--- a/src/peer_messages.hpp
+++ b/src/peer_messages.hpp
@@ -38,10 +38,22 @@
     friend bool operator==(peer_sender const&, peer_sender const&) = default;
 };
 
+/// A suspect request as the process that saw its crashes reports it. Totals
+/// may arrive more than once and on several ways.
+struct reported_suspect
+{
+    std::string m_origin; ///< names the reporting process
+    std::string m_digest;
+    std::uint32_t m_total_crashes = 0; ///< seen by the origin so far
+
+    friend bool
+    operator==(reported_suspect const&, reported_suspect const&) = default;
+};
+
 struct peer_news
 {
     std::vector<evidence> m_evidence;
-    std::vector<suspect_request> m_suspects;
+    std::vector<reported_suspect> m_suspects;
 
     friend bool operator==(peer_news const&, peer_news const&) = default;
 };
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -1,5 +1,6 @@
 #include "config.hpp"
 #include "control.hpp"
+#include "news_log.hpp"
 #include "stand_ins/platform_stand_in.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -93,7 +94,11 @@
 
 struct test_vm
 {
-    test_vm(asio::io_context& io, std::string const& name, std::string platform)
+    test_vm(
+        asio::io_context& io,
+        std::string const& name,
+        std::string platform,
+        std::chrono::seconds retention)
         : m_self{name, 1, "domain-" + name},
           m_box(
               io,
@@ -106,6 +111,7 @@
         m_settings.m_vm = name;
         m_settings.m_peer_listen = "127.0.0.1:0";
         m_settings.m_platform = std::move(platform);
+        m_settings.m_log_retention = retention;
         m_control =
             std::make_unique<control>(io, m_settings, m_self, m_metrics, m_box);
         m_peer_address = "127.0.0.1:" + std::to_string(m_control->peer_port());
@@ -132,14 +138,15 @@
 /// when no handler is ready, so the machine's load changes no outcome.
 struct fleet_fixture
 {
-    fleet_fixture()
+    explicit fleet_fixture(std::chrono::seconds retention = 24h)
+        : m_retention(retention)
     {
         spdlog::set_level(spdlog::level::off);
         runtime_clock::pause();
         m_platform = std::make_unique<stand_in::platform_server>(
             m_io,
             asio::ip::tcp::endpoint{asio::ip::address_v4::loopback(), 0},
-            stand_in::platform_options{});
+            stand_in::platform_options{m_retention});
     }
 
     ~fleet_fixture()
@@ -152,7 +159,7 @@
     {
         auto const port = m_platform->endpoint().port();
         m_vms.push_back(std::make_unique<test_vm>(
-            m_io, name, "127.0.0.1:" + std::to_string(port)));
+            m_io, name, "127.0.0.1:" + std::to_string(port), m_retention));
         return *m_vms.back();
     }
 
@@ -310,6 +317,7 @@
                 {"operations", json::array{to_json(operation)}}});
     }
 
+    std::chrono::seconds m_retention;
     asio::io_context m_io;
     std::unique_ptr<stand_in::platform_server> m_platform;
     std::vector<std::unique_ptr<test_vm>> m_vms;
@@ -485,6 +493,49 @@
         90s);
 }
 
+TEST_CASE("a new VM starts from a snapshot after the log trimmed the changes")
+{
+    // Guards against a fleet that forgets its configuration with the log.
+    fleet_fixture fleet{12s};
+    fleet.start({"a", "b"});
+    CHECK(
+        fleet.put_rate(*fleet.m_vms[0], change_1, 0, 5.0).m_code ==
+        result_code::ok);
+    fleet.pass(30s);
+    test_vm& late = fleet.add("late");
+    fleet.list_all({"a", "b"});
+    fleet.pass(1s);
+    late.m_control->start();
+    fleet.wait_until(
+        [&]
+        {
+            return late.is_fresh() && has_rate(late, 5.0) &&
+                   late.m_view.m_members.size() == 3;
+        });
+}
+
+TEST_CASE("crash news is counted once on every way it takes")
+{
+    // Guards against suspects that circulate, or that a repeated message
+    // turns into refused requests.
+    time_point const now = runtime_clock::now();
+    news_log a{{"a", 1, "d"}};
+    news_log b{{"b", 1, "d"}};
+    a.add_suspects(now, std::vector<suspect_request>{{"digest", 1}});
+    auto const first = a.take_for(now, "b").m_suspects;
+    REQUIRE(first.size() == 1);
+    CHECK(a.take_for(now, "b").m_suspects.empty());
+    a.note_lost("b");
+    CHECK(a.take_for(now, "b").m_suspects == first);
+    CHECK(b.receive(now, first).size() == 1);
+    CHECK(b.receive(now, first).empty());
+    CHECK(a.receive(now, b.take_for(now, "a").m_suspects).empty());
+    a.add_suspects(now, std::vector<suspect_request>{{"digest", 1}});
+    auto const second = b.receive(now, a.take_for(now, "b").m_suspects);
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].m_crashes == 1);
+}
+
 TEST_CASE("one of two claims for a request wins and its outcome is shared")
 {
     fleet_fixture fleet;
--- a/tests/peer_messages_test.cpp
+++ b/tests/peer_messages_test.cpp
@@ -16,7 +16,8 @@
 
 probe_message make_probe()
 {
-    return {sender, {{{"u-1", 1, 2, 3, 4}}, {{"digest", 2}}}, {"vm-7"}};
+    return {
+        sender, {{{"u-1", 1, 2, 3, 4}}, {{"vm-3/1", "digest", 2}}}, {"vm-7"}};
 }
 
 records_reply make_records()
