--- a/src/account_homes.hpp
+++ b/src/account_homes.hpp
@@ -17,7 +17,7 @@
 inline constexpr std::size_t max_homes = 64;
 
 /// Burst per home. A home with less could hardly lend a whole token.
-inline constexpr double min_home_burst = 2.0;
+inline constexpr double min_home_burst = 10.0;
 
 /// Fractions are multiples of this, so that sums of fractions are exact.
 inline constexpr double fraction_unit = 1.0 / (std::uint64_t{1} << 32);
--- a/src/demand_rate.cpp
+++ b/src/demand_rate.cpp
@@ -52,19 +52,39 @@
     m_last = std::max(m_last, now);
 }
 
+/// Part of the window that the count covers so far.
+double demand_rate::covered_at(time_point now) const
+{
+    double const start =
+        initial_age + initial_requests / std::max(m_account_rate, 1.0);
+    double const age = start + seconds_between(*m_first, now);
+    return window() * (1.0 - std::exp(-age / window()));
+}
+
+double demand_rate::count_at(time_point now) const
+{
+    double const gap = std::max(0.0, seconds_between(m_last, now));
+    return m_count * std::exp(-gap / window());
+}
+
 double demand_rate::at(time_point now) const
 {
     if (!m_first)
     {
         return 0.0;
     }
-    double const start =
-        initial_age + initial_requests / std::max(m_account_rate, 1.0);
-    double const age = start + seconds_between(*m_first, now);
-    double const covered = window() * (1.0 - std::exp(-age / window()));
-    double const gap = std::max(0.0, seconds_between(m_last, now));
-    double const count = m_count * std::exp(-gap / window());
-    return std::min(m_account_rate, count / covered);
+    return std::min(m_account_rate, count_at(now) / covered_at(now));
+}
+
+double demand_rate::lower_at(time_point now) const
+{
+    if (!m_first)
+    {
+        return 0.0;
+    }
+    double const count = count_at(now);
+    double const lower = std::max(0.0, count - std::sqrt(count));
+    return std::min(m_account_rate, lower / covered_at(now));
 }
 
 time_point demand_rate::idle_at(double cost) const
--- a/src/demand_rate.hpp
+++ b/src/demand_rate.hpp
@@ -22,6 +22,10 @@
     /// Requests per second.
     [[nodiscard]] double at(time_point now) const;
 
+    /// Requests per second, one standard deviation below `at`. Zero after a
+    /// single request, so that a rare caller holds no share.
+    [[nodiscard]] double lower_at(time_point now) const;
+
     /// When a missing next request means that the traffic went away.
     /// `cost` is the number of messages that a wrong guess would cost.
     [[nodiscard]] time_point idle_at(double cost) const;
@@ -31,6 +35,8 @@
 
 private:
     [[nodiscard]] double window() const; ///< seconds
+    [[nodiscard]] double count_at(time_point now) const;
+    [[nodiscard]] double covered_at(time_point now) const; ///< seconds
 
     double m_account_rate = 0.0;
     std::optional<time_point> m_first;
--- a/src/loan_planner.cpp
+++ b/src/loan_planner.cpp
@@ -36,6 +36,10 @@
     : m_rate{account.m_rate}, m_burst{account.m_burst},
       m_demand{account.m_rate}, m_policy{policy}
 {
+    m_messages.set_limits(
+        time_point{},
+        policy.m_account_messages_per_second,
+        policy.m_account_message_burst);
 }
 
 void loan_planner::set_lenders(
@@ -69,7 +73,7 @@
 
 double loan_planner::stock(std::chrono::milliseconds span, time_point now) const
 {
-    return double(m_waiting.size()) + m_demand.at(now) * to_seconds(span);
+    return double(m_waiting.size()) + m_demand.lower_at(now) * to_seconds(span);
 }
 
 share_amount
@@ -80,7 +84,7 @@
         return {};
     }
     double const fraction =
-        std::min(1.0, m_policy.m_held_demand * m_demand.at(now) / m_rate);
+        std::min(1.0, m_policy.m_held_demand * m_demand.lower_at(now) / m_rate);
     return {fraction, stock(m_policy.m_low_stock, now)};
 }
 
@@ -164,9 +168,7 @@
     for (auto const& [id, loan] : share.borrowed_loans())
     {
         double const rest = fraction - loan.m_fraction;
-        bool const has_tokens =
-            share.tokens() - kept_tokens >= loan.m_fraction * m_burst;
-        if (rest >= kept_fraction && has_tokens)
+        if (rest >= kept_fraction && m_waiting.empty())
         {
             excess.push_back(id);
             fraction = rest;
@@ -282,10 +284,7 @@
 
 bool loan_planner::may_send(loan_context& context)
 {
-    m_messages.set_limits(
-        context.m_now,
-        m_policy.m_account_messages_per_second,
-        m_policy.m_account_message_burst);
+    m_messages.advance(context.m_now);
     if (m_messages.level() < 1.0 || !context.m_messages.take())
     {
         return false;
--- a/src/rate_share.cpp
+++ b/src/rate_share.cpp
@@ -154,6 +154,8 @@
       m_random{seed ^ m_self.m_incarnation ^ home_weight({}, m_self.m_vm)},
       m_next_id{m_random() | 1}
 {
+    m_messages.set_limits(
+        time_point{}, policy.m_messages_per_second, policy.m_message_burst);
 }
 
 void rate_share::implementation::put_account(
@@ -268,19 +270,19 @@
 {
     while (!m_settling.empty() && m_settling.front().m_at <= now)
     {
-        m_settled = m_settling.front().m_version;
+        auto const [at, version] = m_settling.front();
         m_settling.pop_front();
+        m_settled = version;
         for (auto& [name, account] : m_accounts)
         {
-            account.m_share.settle(now, m_settled);
+            account.m_share.settle(at, version);
         }
     }
 }
 
 loan_context rate_share::implementation::context(time_point now)
 {
-    m_messages.set_limits(
-        now, m_policy.m_messages_per_second, m_policy.m_message_burst);
+    m_messages.advance(now);
     return {now, m_policy, m_messages, m_next_id, m_random, m_outgoing};
 }
 
