--- a/src/account_share.cpp
+++ b/src/account_share.cpp
@@ -202,6 +202,7 @@
     loan.m_lender = lender;
     loan.m_fraction += added.m_fraction;
     loan.m_end = std::max(loan.m_end, end);
+    loan.m_changed_at = added.m_fraction > 0.0 ? now : loan.m_changed_at;
     m_borrowed += added.m_fraction;
     apply_limits(now);
     m_bucket.add(
--- a/src/account_share.hpp
+++ b/src/account_share.hpp
@@ -30,6 +30,7 @@
     loan_reply m_reply;             ///< answer to that request
     double m_fraction = 0.0;
     time_point m_end{};
+    time_point m_recalled_at{};
 };
 
 struct borrowed_loan
@@ -37,6 +38,7 @@
     vm_id m_lender;
     double m_fraction = 0.0;
     time_point m_end{};
+    time_point m_changed_at{}; ///< last addition of a fraction
 };
 
 class account_share
--- a/src/loan_planner.cpp
+++ b/src/loan_planner.cpp
@@ -1,6 +1,7 @@
 #include "loan_planner.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace briarhub
@@ -14,9 +15,10 @@
 /// Surplus of a wanted amount that covers rounding.
 constexpr double token_slack = 1e-4;
 
-/// Limits of the time for which a lender that had too little is not asked.
-constexpr std::chrono::milliseconds min_refusal_pause{30};
-constexpr std::chrono::milliseconds max_refusal_pause{300};
+/// A lender that had too little is not asked for this time, doubled with each
+/// further refusal up to the limit.
+constexpr std::chrono::milliseconds min_refusal_pause{20};
+constexpr unsigned max_pause_doublings = 5;
 
 /// Pause between two looks at work that a limit postponed.
 constexpr std::chrono::milliseconds plan_interval{20};
@@ -158,6 +160,69 @@
         {lender, loan_return{share.config().m_name, id, fraction, tokens}});
 }
 
+/// A rare caller returns its loan at once; under steady demand the loan would
+/// soon be requested again.
+bool loan_planner::is_held(borrowed_loan const& loan, time_point now) const
+{
+    return m_demand.lower_at(now) > 0.0 &&
+           now < loan.m_changed_at + m_policy.m_hold;
+}
+
+void loan_planner::recall(
+    account_share& share, loan_id id, loan_context& context)
+{
+    auto const found = share.borrowed_loans().find(id);
+    if (found == share.borrowed_loans().end() || !m_waiting.empty())
+    {
+        return;
+    }
+    share_amount const need = own_need(share, context.m_now);
+    double const rest = share.fraction() - found->second.m_fraction;
+    bool const is_needed =
+        rest < need.m_fraction * m_policy.m_recall_above &&
+        share.tokens() < stock(m_policy.m_recall_stock, context.m_now) + 1.0;
+    if (!is_needed)
+    {
+        give_back(
+            share, id, stock(m_policy.m_low_stock, context.m_now), context);
+    }
+}
+
+bool loan_planner::send_recalls(
+    account_share& share,
+    vm_id const& requester,
+    double lacking_fraction,
+    loan_context& context)
+{
+    std::vector<std::pair<double, loan_id>> loans;
+    for (auto const& [id, loan] : share.lent_loans())
+    {
+        bool const is_asked =
+            loan.m_recalled_at + m_policy.m_recall_pause > context.m_now;
+        if (loan.m_borrower != requester && !is_asked)
+        {
+            loans.emplace_back(loan.m_fraction, id);
+        }
+    }
+    std::sort(loans.begin(), loans.end(), std::greater<>{});
+    bool is_sent = false;
+    for (auto const& [fraction, id] : loans)
+    {
+        if (lacking_fraction <= 0.0 || !may_send(context))
+        {
+            break;
+        }
+        is_sent = true;
+        lent_loan& loan = share.lent_loans().at(id);
+        loan.m_recalled_at = context.m_now;
+        lacking_fraction -= fraction;
+        context.m_outgoing.push_back(
+            {loan.m_borrower,
+             loan_return{share.config().m_name, id, 0.0, 0.0}});
+    }
+    return is_sent;
+}
+
 void loan_planner::return_excess(account_share& share, loan_context& context)
 {
     share_amount const need = own_need(share, context.m_now);
@@ -168,7 +233,8 @@
     for (auto const& [id, loan] : share.borrowed_loans())
     {
         double const rest = fraction - loan.m_fraction;
-        if (rest >= kept_fraction && m_waiting.empty())
+        if (rest >= kept_fraction && m_waiting.empty() &&
+            !is_held(loan, context.m_now))
         {
             excess.push_back(id);
             fraction = rest;
@@ -228,9 +294,9 @@
     std::vector<vm_id> usable;
     for (vm_id const& lender : m_lenders)
     {
-        auto const refused = m_refused_until.find(lender);
-        bool const pauses =
-            refused != m_refused_until.end() && refused->second > context.m_now;
+        auto const refused = m_refusals.find(lender);
+        bool const pauses = refused != m_refusals.end() &&
+                            refused->second.m_pause_until > context.m_now;
         if (!pauses && !is_asked(lender, context.m_now))
         {
             usable.push_back(lender);
@@ -321,6 +387,21 @@
     return true;
 }
 
+/// Pauses double with each refusal, so that lenders without stock cost few
+/// messages.
+void loan_planner::note_grant(vm_id const& lender, bool is_full, time_point now)
+{
+    if (is_full)
+    {
+        m_refusals.erase(lender);
+        return;
+    }
+    lender_refusals& refusals = m_refusals[lender];
+    unsigned const doublings = std::min(refusals.m_count, max_pause_doublings);
+    refusals.m_pause_until = now + min_refusal_pause * (1U << doublings);
+    ++refusals.m_count;
+}
+
 void loan_planner::receive(
     account_share& share,
     time_point now,
@@ -337,14 +418,7 @@
     bool const is_short =
         reply.m_loan_id == 0 ||
         reply.m_tokens + 2 * token_slack < request.m_wanted.m_tokens;
-    if (is_short)
-    {
-        double const refill = double(m_home_count) / std::max(m_rate, 1e-3);
-        duration const pause{std::int64_t(refill * 0.5e9)};
-        m_refused_until[from] =
-            now +
-            std::clamp<duration>(pause, min_refusal_pause, max_refusal_pause);
-    }
+    note_grant(from, !is_short, now);
     if (reply.m_loan_id == 0)
     {
         return;
--- a/src/loan_planner.hpp
+++ b/src/loan_planner.hpp
@@ -31,6 +31,13 @@
     share_amount m_wanted;
 };
 
+/// Refusals by one lender since its last full grant.
+struct lender_refusals
+{
+    unsigned m_count = 0;
+    time_point m_pause_until{};
+};
+
 /// What the planner needs besides the account itself.
 struct loan_context
 {
@@ -63,6 +70,17 @@
 
     void plan(account_share& share, loan_context& context);
 
+    /// A lender wants a loan back because others need it.
+    void recall(account_share& share, loan_id id, loan_context& context);
+
+    /// Asks the borrowers other than `requester` for what the request lacked.
+    /// True if a recall was sent.
+    bool send_recalls(
+        account_share& share,
+        vm_id const& requester,
+        double lacking_fraction,
+        loan_context& context);
+
     void receive(
         account_share& share,
         time_point now,
@@ -89,6 +107,8 @@
         vm_id const& lender,
         share_amount const& wanted,
         loan_context& context);
+    [[nodiscard]] bool is_held(borrowed_loan const& loan, time_point now) const;
+    void note_grant(vm_id const& lender, bool is_full, time_point now);
     bool may_send(loan_context& context);
     [[nodiscard]] std::vector<vm_id>
     usable_lenders(loan_context& context) const;
@@ -107,7 +127,7 @@
     token_bucket m_messages;
     std::size_t m_home_count = 0;
     std::vector<vm_id> m_lenders;
-    std::map<vm_id, time_point> m_refused_until;
+    std::map<vm_id, lender_refusals> m_refusals;
     std::map<std::uint64_t, pending_request> m_pending;
     std::vector<time_point> m_waiting;
 };
--- a/src/rate_share.cpp
+++ b/src/rate_share.cpp
@@ -24,6 +24,17 @@
 constexpr std::chrono::milliseconds min_retry_after{50};
 constexpr std::chrono::seconds max_retry_after{10};
 
+/// A loan request that waits for recalled tokens.
+struct deferred_request
+{
+    vm_id m_from;
+    loan_request m_request;
+    time_point m_deadline{};
+};
+
+/// Longest wait for recalled tokens; the borrower's own wait is limited.
+constexpr std::chrono::milliseconds max_deferral{20};
+
 struct account_state
 {
     account_state(account_config const& config, loan_policy const& policy)
@@ -33,6 +44,7 @@
 
     account_share m_share;
     loan_planner m_planner;
+    std::deque<deferred_request> m_deferred;
     std::size_t m_rank = 0; ///< members before this VM in the order of homes
 };
 
@@ -113,6 +125,7 @@
         vm_id const& from,
         account_state& account,
         loan_request const& request);
+    void serve_deferred(time_point now, account_state& account);
     loan_reply grant(
         time_point now,
         vm_id const& from,
@@ -289,9 +302,15 @@
 void rate_share::implementation::plan(
     time_point now, account_name const& name, account_state& account)
 {
+    serve_deferred(now, account);
     auto planning = context(now);
     account.m_planner.plan(account.m_share, planning);
-    auto const next = account.m_planner.next_plan(account.m_share, now);
+    auto next = account.m_planner.next_plan(account.m_share, now);
+    if (!account.m_deferred.empty())
+    {
+        time_point const deadline = account.m_deferred.front().m_deadline;
+        next = std::min(next.value_or(deadline), deadline);
+    }
     if (next)
     {
         m_next_plans[name] = *next;
@@ -367,9 +386,52 @@
     {
         return;
     }
+    for (deferred_request const& deferred : account.m_deferred)
+    {
+        if (deferred.m_request.m_request_id == request.m_request_id)
+        {
+            return;
+        }
+    }
+    // Recalled tokens arrive within two message delays; a reply that waits
+    // for them saves the refusal and the next request.
+    double const available = account.m_share.tokens();
+    double const lacking = request.m_tokens - std::max(0.0, available);
+    bool const is_deferred = lacking > 0.0 && available < 1.0 &&
+                             now < m_valid_until &&
+                             account.m_planner.send_recalls(
+                                 account.m_share,
+                                 from,
+                                 lacking / account.m_share.config().m_burst,
+                                 limits);
+    if (is_deferred)
+    {
+        account.m_deferred.push_back({from, request, now + max_deferral});
+        time_point const due = now + max_deferral;
+        auto const planned = m_next_plans.try_emplace(request.m_account, due);
+        planned.first->second = std::min(planned.first->second, due);
+        return;
+    }
     m_outgoing.push_back({from, grant(now, from, account, request)});
 }
 
+/// Answers requests that waited for returned loans, in the order of arrival.
+void rate_share::implementation::serve_deferred(
+    time_point now, account_state& account)
+{
+    while (!account.m_deferred.empty())
+    {
+        auto const [from, request, deadline] = account.m_deferred.front();
+        double const needed = std::min(1.0, request.m_tokens);
+        if (account.m_share.tokens() < needed && now < deadline)
+        {
+            return;
+        }
+        account.m_deferred.pop_front();
+        m_outgoing.push_back({from, grant(now, from, account, request)});
+    }
+}
+
 loan_reply rate_share::implementation::grant(
     time_point now,
     vm_id const& from,
@@ -436,10 +498,19 @@
     account_state& account,
     loan_return const& returned)
 {
+    account_share& share = account.m_share;
+    auto const borrowed = share.borrowed_loans().find(returned.m_loan_id);
+    bool const is_recall = borrowed != share.borrowed_loans().end() &&
+                           borrowed->second.m_lender == from;
+    if (is_recall)
+    {
+        auto planning = context(now);
+        account.m_planner.recall(share, returned.m_loan_id, planning);
+        return;
+    }
     if (is_valid_amount(returned.m_fraction, returned.m_tokens))
     {
-        account.m_share.take_back(
-            now, returned.m_loan_id, from, returned.m_tokens);
+        share.take_back(now, returned.m_loan_id, from, returned.m_tokens);
     }
 }
 
--- a/src/rate_share.hpp
+++ b/src/rate_share.hpp
@@ -54,6 +54,8 @@
     std::chrono::milliseconds m_duration{};
 };
 
+/// Ends a loan early. Sent by a lender without amounts it asks the borrower
+/// to return what it does not need at the moment.
 struct loan_return
 {
     account_name m_account;
@@ -92,6 +94,14 @@
     double m_held_demand = 0.9;
     /// A loan is returned when the rest still is this multiple of the need.
     double m_return_above = 1.3;
+    /// A loan is kept for this long although the need went down.
+    std::chrono::milliseconds m_hold{500};
+    /// A recalled loan is returned when the rest is this part of the need, or
+    /// when the tokens last for longer than the recall stock.
+    double m_recall_above = 0.8;
+    std::chrono::milliseconds m_recall_stock{200};
+    /// Between two recalls of one loan.
+    std::chrono::milliseconds m_recall_pause{100};
     /// A loan is requested when the tokens last for less than this.
     std::chrono::milliseconds m_low_stock{40};
     /// Tokens requested last for this long.
