--- a/src/account_homes.cpp
+++ b/src/account_homes.cpp
@@ -40,8 +40,10 @@
 
 std::size_t home_count(double burst, std::size_t members)
 {
-    double const wanted = std::floor(burst / min_home_burst);
-    double const homes = std::clamp(wanted, 1.0, double(max_homes));
+    double const whole = std::floor(burst / min_home_burst);
+    double const least = std::clamp(whole, 1.0, 2.0);
+    double const wanted = std::floor(burst / home_burst);
+    double const homes = std::clamp(wanted, least, double(max_homes));
     return std::min(std::size_t(homes), members);
 }
 
--- a/src/account_homes.hpp
+++ b/src/account_homes.hpp
@@ -16,8 +16,13 @@
 /// Bounds the loans that one busy VM needs for a large account.
 inline constexpr std::size_t max_homes = 64;
 
-/// Burst per home. A home with less could hardly lend a whole token.
-inline constexpr double min_home_burst = 10.0;
+/// Burst per home. Few homes keep the tokens of small accounts together: with
+/// one home per two tokens, 3 times as many requests within rate were refused.
+inline constexpr double home_burst = 10.0;
+
+/// Each account that can have whole tokens at two homes has two, so that the
+/// death of one VM never stops an account.
+inline constexpr double min_home_burst = 2.0;
 
 /// Fractions are multiples of this, so that sums of fractions are exact.
 inline constexpr double fraction_unit = 1.0 / (std::uint64_t{1} << 32);
--- a/src/account_share.cpp
+++ b/src/account_share.cpp
@@ -139,7 +139,7 @@
     double const carrier = offered / burst + 2 * fraction_unit;
     double const granted =
         floor_fraction(std::min(std::max(wanted.m_fraction, carrier), spare));
-    if (granted <= 2 * fraction_unit)
+    if (burst <= 0.0 || granted <= 2 * fraction_unit)
     {
         return {};
     }
--- a/src/loan_planner.cpp
+++ b/src/loan_planner.cpp
@@ -81,7 +81,7 @@
 share_amount
 loan_planner::own_need(account_share const& share, time_point now) const
 {
-    if (is_idle(share, now))
+    if (m_rate <= 0.0 || is_idle(share, now))
     {
         return {};
     }
@@ -99,7 +99,8 @@
         return_all(share, context);
         return;
     }
-    renew_or_return(share, context);
+    repeat_requests(share, context);
+    renew(share, context);
     return_excess(share, context);
     borrow(share, context);
 }
@@ -141,14 +142,16 @@
     }
 }
 
-/// A return is sent even when the message limit is reached: it is the last
-/// message of its loan, and each loan passed the limit when it was requested.
+/// A return is sent even when the message limit is reached, since each loan
+/// passed the limit when it was requested; it delays the next request instead.
 void loan_planner::give_back(
     account_share& share, loan_id id, double kept_tokens, loan_context& context)
 {
     vm_id const lender = share.borrowed_loans().at(id).m_lender;
     auto const [fraction, tokens] =
         share.give_back(context.m_now, id, kept_tokens);
+    m_messages.remove(1.0);
+    context.m_messages.remove(1.0);
     // A reply that is still under way must not revive the loan.
     std::erase_if(
         m_pending,
@@ -178,8 +181,11 @@
     }
     share_amount const need = own_need(share, context.m_now);
     double const rest = share.fraction() - found->second.m_fraction;
+    // Between rare requests the tokens serve a request that waits elsewhere.
+    bool const is_frequent =
+        m_demand.at(context.m_now) * to_seconds(admission_wait) > 0.5;
     bool const is_needed =
-        rest < need.m_fraction * m_policy.m_recall_above &&
+        is_frequent && rest < need.m_fraction * m_policy.m_recall_above &&
         share.tokens() < stock(m_policy.m_recall_stock, context.m_now) + 1.0;
     if (!is_needed)
     {
@@ -246,7 +252,7 @@
     }
 }
 
-void loan_planner::renew_or_return(account_share& share, loan_context& context)
+void loan_planner::renew(account_share& share, loan_context& context)
 {
     time_point const now = context.m_now;
     std::vector<std::pair<loan_id, vm_id>> due;
@@ -263,6 +269,33 @@
     }
 }
 
+/// Without the repetition the lender would keep a loan that never arrived out
+/// of use until its end.
+void loan_planner::repeat_requests(
+    account_share const& share, loan_context& context)
+{
+    for (auto& [id, request] : m_pending)
+    {
+        bool const is_due =
+            request.m_last_sent_at + reply_timeout <= context.m_now;
+        if (!is_due || request.m_sends == max_request_sends ||
+            !may_send(context))
+        {
+            continue;
+        }
+        request.m_last_sent_at = context.m_now;
+        ++request.m_sends;
+        context.m_outgoing.push_back(
+            {request.m_lender,
+             loan_request{
+                 share.config().m_name,
+                 id,
+                 request.m_renewed_loan,
+                 request.m_wanted.m_fraction,
+                 request.m_wanted.m_tokens}});
+    }
+}
+
 bool loan_planner::is_asked(vm_id const& lender, time_point now) const
 {
     return std::any_of(
@@ -271,7 +304,7 @@
         [&](auto const& entry)
         {
             return entry.second.m_lender == lender &&
-                   entry.second.m_sent_at + reply_timeout > now;
+                   entry.second.m_last_sent_at + reply_timeout > now;
         });
 }
 
@@ -280,7 +313,7 @@
     share_amount sum;
     for (auto const& [id, request] : m_pending)
     {
-        if (request.m_sent_at + reply_timeout > now)
+        if (request.m_last_sent_at + reply_timeout > now)
         {
             sum.m_fraction += request.m_wanted.m_fraction;
             sum.m_tokens += request.m_wanted.m_tokens;
@@ -325,6 +358,11 @@
         double const batch = std::max(1.0, stock(m_policy.m_batch, now));
         missing = std::max(0.0, batch - tokens + token_slack);
     }
+    // This VM's own loans to others are the nearest reserve.
+    if (!m_waiting.empty() && missing > 0.0)
+    {
+        send_recalls(share, {}, missing / m_burst, context);
+    }
     double const home_fraction =
         1.0 / double(std::max<std::size_t>(1, m_home_count));
     std::size_t asked = 0;
@@ -375,7 +413,7 @@
         renewed = loan.m_lender == lender ? id : renewed;
     }
     std::uint64_t const id = context.m_next_id++;
-    m_pending[id] = {lender, renewed, context.m_now, wanted};
+    m_pending[id] = {lender, renewed, context.m_now, context.m_now, 1, wanted};
     context.m_outgoing.push_back(
         {lender,
          loan_request{
@@ -455,7 +493,7 @@
     }
     for (auto const& [id, request] : m_pending)
     {
-        next = std::min(next, request.m_sent_at + reply_timeout);
+        next = std::min(next, request.m_last_sent_at + reply_timeout);
     }
     return std::max(next, now + plan_interval);
 }
--- a/src/loan_planner.hpp
+++ b/src/loan_planner.hpp
@@ -15,9 +15,12 @@
 namespace briarhub
 {
 
-/// A request without reply for this long counts as lost; a reply that comes
-/// later is still taken.
-inline constexpr std::chrono::milliseconds reply_timeout{100};
+/// A request without reply for this long is sent again under the same id, so
+/// that a lender that granted it repeats its reply.
+inline constexpr std::chrono::milliseconds reply_timeout{40};
+
+/// Times a request is sent. A late reply is still taken.
+inline constexpr unsigned max_request_sends = 3;
 
 /// Renewal starts this long before the end of a loan, which leaves time for
 /// several attempts.
@@ -27,7 +30,9 @@
 {
     vm_id m_lender;
     loan_id m_renewed_loan = 0;
-    time_point m_sent_at{};
+    time_point m_sent_at{};      ///< first time; the loan counts from it
+    time_point m_last_sent_at{}; ///< of the repetitions
+    unsigned m_sends = 1;
     share_amount m_wanted;
 };
 
@@ -95,7 +100,8 @@
     void forget_old(account_share const& share, time_point now);
     void return_all(account_share& share, loan_context& context);
     void return_excess(account_share& share, loan_context& context);
-    void renew_or_return(account_share& share, loan_context& context);
+    void renew(account_share& share, loan_context& context);
+    void repeat_requests(account_share const& share, loan_context& context);
     void borrow(account_share& share, loan_context& context);
     void give_back(
         account_share& share,
--- a/src/rate_bench.cpp
+++ b/src/rate_bench.cpp
@@ -286,7 +286,6 @@
     std::chrono::seconds m_move_interval{10};
     std::chrono::seconds m_length{600};
     network_conditions m_network;
-    std::optional<std::chrono::seconds> m_death_interval;
 };
 
 struct rate_figures
@@ -517,6 +516,12 @@
         scenario.m_active = scenario.m_vms;
         list.push_back(scenario);
     }
+    rate_scenario flood = list.front();
+    flood.m_name = "200/s burst 100, 3 times the rate at all VMs";
+    flood.m_load = 3.0;
+    flood.m_active = flood.m_vms;
+    flood.m_length = std::chrono::seconds{60};
+    list.push_back(flood);
     rate_scenario lossy = list.front();
     lossy.m_name += ", 5% lost";
     lossy.m_network.m_loss = 0.05;
--- a/src/rate_share.cpp
+++ b/src/rate_share.cpp
@@ -33,7 +33,7 @@
 };
 
 /// Longest wait for recalled tokens; the borrower's own wait is limited.
-constexpr std::chrono::milliseconds max_deferral{20};
+constexpr std::chrono::milliseconds max_deferral{8};
 
 struct account_state
 {
--- a/src/rate_share.hpp
+++ b/src/rate_share.hpp
@@ -91,9 +91,9 @@
 struct loan_policy
 {
     /// Fraction held, as a multiple of the fraction that demand uses.
-    double m_held_demand = 0.9;
+    double m_held_demand = 1.15;
     /// A loan is returned when the rest still is this multiple of the need.
-    double m_return_above = 1.3;
+    double m_return_above = 2.0;
     /// A loan is kept for this long although the need went down.
     std::chrono::milliseconds m_hold{500};
     /// A recalled loan is returned when the rest is this part of the need, or
--- a/tests/rate_share_test.cpp
+++ b/tests/rate_share_test.cpp
@@ -344,7 +344,8 @@
     {
         rate_share& share = m_fleet.share(vm);
         std::size_t& held = m_vms[vm].m_held;
-        bool const is_gap = held == 0;
+        // A VM that lags may take over a snapshot instead of the records.
+        bool const is_gap = held == 0 || m_random() % 4 == 0;
         while (held < version)
         {
             log_entry const& entry = m_log[held];
@@ -353,8 +354,11 @@
             {
                 share.put_account(m_fleet.now(), *entry.m_account, held);
             }
-            share.set_members(
-                m_fleet.now(), {held, entry.m_members, false, is_gap});
+            if (!is_gap || held == version)
+            {
+                share.set_members(
+                    m_fleet.now(), {held, entry.m_members, false, is_gap});
+            }
         }
         update_stable();
     }
