Count evidence of slowness from four times the median latency

An upstream that was 5 times slower stayed below twice the latency target and was never detected. Shed attempts count in no service time.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -399,9 +399,14 @@
     service_queue& service = *slots.m_service;
     --slots.m_in_flight;
     --service.m_in_flight;
-    double const seconds = std::chrono::duration<double>(service_time).count();
-    double const mean = service.m_service_time_s.value_or(seconds);
-    service.m_service_time_s = mean + service_time_gain * (seconds - mean);
+    if (slots.m_shed_attempts > 0)
+    {
+        --slots.m_shed_attempts;
+    }
+    else
+    {
+        update_service_time(service, service_time);
+    }
     if (!slots.m_listed && slots.m_in_flight == 0)
     {
         self.m_upstreams.erase(found);
--- a/src/health.cpp
+++ b/src/health.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -74,6 +75,10 @@
 constexpr int slow_per_target = 2;
 constexpr int slow_per_median = 4;
 
+/// Evidence of slowness needs at least this age: shorter delays come from the
+/// scheduling of small VMs.
+constexpr std::chrono::milliseconds least_slow_age{20};
+
 /// An outcome and when it was seen.
 struct latest_outcome
 {
@@ -497,23 +502,44 @@
 
     // Slow attempts.
 
-    [[nodiscard]] duration slow_limit(
-        service_name const& service,
-        work_class_name const& work_class,
-        std::chrono::milliseconds latency_target) const
+    [[nodiscard]] std::optional<duration> median_of(
+        service_name const& service, work_class_name const& work_class) const
     {
-        duration const by_target = slow_per_target * duration{latency_target};
         auto const record = m_services.find(service);
         if (record == m_services.end())
         {
-            return by_target;
+            return std::nullopt;
         }
         auto const median = record->second.m_medians.find(work_class);
-        if (median == record->second.m_medians.end() || !median->second.value())
-        {
-            return by_target;
-        }
-        return std::max(by_target, slow_per_median * *median->second.value());
+        return median == record->second.m_medians.end()
+                   ? std::nullopt
+                   : median->second.value();
+    }
+
+    /// Age at which an attempt is worth a second one elsewhere.
+    [[nodiscard]] duration slow_limit(
+        service_name const& service,
+        work_class_name const& work_class,
+        std::chrono::milliseconds latency_target) const
+    {
+        duration const by_target = slow_per_target * duration{latency_target};
+        auto const median = median_of(service, work_class);
+        return std::max(
+            by_target, slow_per_median * median.value_or(duration::zero()));
+    }
+
+    /// Age at which an attempt is evidence. It depends on the usual latency
+    /// and not on the target, which may be many times as long: an upstream
+    /// that became 5 times slower can still meet its target.
+    [[nodiscard]] duration evidence_limit(
+        service_name const& service,
+        work_class_name const& work_class,
+        std::chrono::milliseconds latency_target) const
+    {
+        auto const median = median_of(service, work_class);
+        return median ? std::max<duration>(
+                            slow_per_median * *median, least_slow_age)
+                      : slow_per_target * duration{latency_target};
     }
 
     void count_slow(time_point now)
@@ -963,7 +989,8 @@
     attempt.m_work_class = work_class;
     attempt.m_started = now;
     attempt.m_slow_at =
-        now + self.slow_limit(attempt.m_service, work_class, latency_target);
+        now +
+        self.evidence_limit(attempt.m_service, work_class, latency_target);
     attempt_key const key{ticket, target};
     if (self.m_attempts.emplace(key, attempt).second)
     {
--- a/src/health.hpp
+++ b/src/health.hpp
@@ -75,7 +75,9 @@
         upstream_id const& target,
         attempt_outcome outcome);
 
-    /// Age after which an attempt of the class counts as slow.
+    /// Age after which an attempt of the class should be tried elsewhere. It
+    /// counts as evidence from four times the usual latency on, which may be
+    /// earlier.
     [[nodiscard]] duration slow_limit(
         service_name const& service,
         work_class_name const& work_class,
