--- a/src/fair_queue.cpp
+++ b/src/fair_queue.cpp
@@ -40,34 +40,32 @@
 }
 
 // The account at the head of the round is served while its deficit covers the
-// next request. An account whose request is not accepted keeps its place in
-// the next round but cannot block the others.
+// next request. An account whose request is not accepted is passed over and
+// keeps its deficit, so that calls without a free upstream change no shares.
 std::optional<queued_request>
 fair_queue::pop(std::function<bool(queued_request const&)> const& accept)
 {
-    std::size_t rejected = 0;
-    while (rejected < m_round.size())
+    std::size_t passed_over = 0;
+    while (passed_over < m_round.size())
     {
-        account_name const account = m_round.front();
-        account_queue& queue = m_accounts[account];
-        if (!queue.m_granted)
+        account_queue& queue = m_accounts[m_round.front()];
+        if (!accept(queue.m_requests.front()))
         {
-            queue.m_deficit += quantum;
-            queue.m_granted = true;
+            ++passed_over;
+            m_round.splice(m_round.end(), m_round, m_round.begin());
+            continue;
         }
-        if (queue.m_requests.front().m_cost > queue.m_deficit)
+        passed_over = 0;
+        if (!std::exchange(queue.m_granted, true))
         {
-            rotate();
-            continue;
+            queue.m_deficit += quantum;
         }
-        if (accept(queue.m_requests.front()))
+        if (queue.m_requests.front().m_cost <= queue.m_deficit)
         {
-            return take_head(account);
+            return take_head(account_name{m_round.front()});
         }
-        // Credit is not saved up while a request cannot be placed.
-        queue.m_deficit = std::min(queue.m_deficit, quantum);
-        ++rejected;
-        rotate();
+        queue.m_granted = false;
+        m_round.splice(m_round.end(), m_round, m_round.begin());
     }
     return std::nullopt;
 }
@@ -135,10 +133,4 @@
     return taken;
 }
 
-void fair_queue::rotate()
-{
-    m_accounts[m_round.front()].m_granted = false;
-    m_round.splice(m_round.end(), m_round, m_round.begin());
-}
-
 } // namespace briarhub
--- a/src/fair_queue.hpp
+++ b/src/fair_queue.hpp
@@ -63,7 +63,6 @@
 
     void activate(account_name const& account);
     queued_request take_head(account_name const& account);
-    void rotate();
 
     std::size_t m_account_limit;
     std::size_t m_size = 0;
--- a/src/health.cpp
+++ b/src/health.cpp
@@ -55,8 +55,13 @@
 constexpr double sick_fault_ratio = 0.5;
 constexpr double sick_wrong_ratio = 0.05;
 
+/// A pause of an upstream, for example for garbage collection, delays all
+/// attempts in flight at once. A score has to stay over the threshold for this
+/// long, so that the outcomes after a short pause count too.
+constexpr std::chrono::milliseconds confirmation_time{500};
+
 /// One reporter adds at most this share of the threshold.
-constexpr double reporter_share_limit = 0.5;
+constexpr double reporter_share_limit = 0.6;
 
 /// Outcomes of the service over which its usual ratio is taken, for each of
 /// its upstreams.
@@ -75,6 +80,14 @@
 constexpr int slow_per_target = 2;
 constexpr int slow_per_median = 4;
 
+/// An attempt this many times older than the evidence limit counts once more:
+/// such an age is as rare among slow healthy attempts as those are among all.
+constexpr int very_slow_multiple = 4;
+
+/// Without a tick for this long the VM was paused. Ages of attempts then tell
+/// about this VM and not about upstreams.
+constexpr std::chrono::seconds pause_limit{1};
+
 /// Evidence of slowness needs at least this age: shorter delays come from the
 /// scheduling of small VMs.
 constexpr std::chrono::milliseconds least_slow_age{20};
@@ -137,7 +150,8 @@
     time_point m_out_until{};
     time_point m_next_probe{};
     double m_score_when_out = 0.0;
-    int m_ejections = 0; ///< within `ejection_memory`
+    std::optional<time_point> m_over_since; ///< fault score over the threshold
+    int m_ejections = 0;                    ///< within `ejection_memory`
     time_point m_last_ejection{};
 
     local_scores m_local;
@@ -214,8 +228,10 @@
     service_name m_service;
     work_class_name m_work_class;
     time_point m_started{};
-    time_point m_slow_at{};
-    bool m_counted = false;
+    time_point m_slow_at{}; ///< when it counts as slow next
+    duration m_slow_limit{};
+    int m_slow_counts = 0;
+    bool m_is_excused = false; ///< in flight while this VM was paused
 };
 
 using attempt_key = std::pair<request_ticket, upstream_id>;
@@ -549,8 +565,13 @@
             attempt_key const key = m_slow_due.begin()->second;
             m_slow_due.erase(m_slow_due.begin());
             attempt_record& attempt = m_attempts.at(key);
-            attempt.m_counted = true;
-            add_latency(attempt, now - attempt.m_started);
+            if (attempt.m_slow_counts++ == 0)
+            {
+                add_latency(attempt, now - attempt.m_started);
+                attempt.m_slow_at = attempt.m_started +
+                                    very_slow_multiple * attempt.m_slow_limit;
+                m_slow_due.emplace(attempt.m_slow_at, key);
+            }
             if (upstream_record* record = find(key.second))
             {
                 add_own(now, *record, attempt_outcome::slow);
@@ -558,6 +579,19 @@
         }
     }
 
+    void excuse_if_paused(time_point now)
+    {
+        if (!m_last_tick || now - *m_last_tick <= pause_limit)
+        {
+            return;
+        }
+        m_slow_due.clear();
+        for (auto& [key, attempt] : m_attempts)
+        {
+            attempt.m_is_excused = true;
+        }
+    }
+
     void add_latency(attempt_record const& attempt, duration age)
     {
         m_services[attempt.m_service].m_medians[attempt.m_work_class].add(age);
@@ -654,16 +688,55 @@
         return seen > 0 && 2 * bad > seen;
     }
 
+    /// Median fault score of the service's other upstreams. What they have in
+    /// common is no evidence against one of them.
+    static double common_score(upstream_record const& record)
+    {
+        std::vector<double> scores;
+        for (upstream_record const* other : record.m_service->m_upstreams)
+        {
+            if (other != &record)
+            {
+                scores.push_back(other->m_pooled.m_fault.value());
+            }
+        }
+        if (scores.empty())
+        {
+            return 0.0;
+        }
+        auto const middle =
+            scores.begin() + static_cast<std::ptrdiff_t>(scores.size() / 2);
+        std::nth_element(scores.begin(), middle, scores.end());
+        return *middle;
+    }
+
     [[nodiscard]] bool
-    is_fleet_sick(time_point now, upstream_record const& record) const
+    is_over_threshold(time_point now, upstream_record const& record) const
     {
         double const limit = fleet_threshold(now, *record.m_service);
-        auto const decides = [&](pooled_score const& score)
+        double const score = record.m_pooled.m_fault.value();
+        return score >= limit && score - common_score(record) >= limit &&
+               record.m_pooled.m_fault.is_agreed(now);
+    }
+
+    [[nodiscard]] bool
+    is_fleet_sick(time_point now, upstream_record& record) const
+    {
+        if (!is_over_threshold(now, record))
         {
-            return score.value() >= limit && score.is_agreed(now);
-        };
-        return decides(record.m_pooled.m_fault) ||
-               decides(record.m_pooled.m_wrong);
+            record.m_over_since.reset();
+        }
+        else if (!record.m_over_since)
+        {
+            record.m_over_since = now;
+        }
+        bool const is_confirmed =
+            record.m_over_since &&
+            now - *record.m_over_since >= confirmation_time;
+        bool const is_wrong = record.m_pooled.m_wrong.value() >=
+                                  fleet_threshold(now, *record.m_service) &&
+                              record.m_pooled.m_wrong.is_agreed(now);
+        return is_confirmed || is_wrong;
     }
 
     [[nodiscard]] bool
@@ -904,6 +977,7 @@
     std::map<service_name, service_record> m_services;
     std::map<attempt_key, attempt_record> m_attempts;
     std::set<std::pair<time_point, attempt_key>> m_slow_due;
+    std::optional<time_point> m_last_tick;
     std::set<upstream_id> m_news;
     std::vector<health_change> m_changes;
     bool m_doubts_itself = false;
@@ -988,9 +1062,9 @@
     attempt.m_service = record->m_upstream.m_service;
     attempt.m_work_class = work_class;
     attempt.m_started = now;
-    attempt.m_slow_at =
-        now +
+    attempt.m_slow_limit =
         self.evidence_limit(attempt.m_service, work_class, latency_target);
+    attempt.m_slow_at = now + attempt.m_slow_limit;
     attempt_key const key{ticket, target};
     if (self.m_attempts.emplace(key, attempt).second)
     {
@@ -1005,6 +1079,7 @@
     attempt_outcome outcome)
 {
     auto& self = *m_implementation;
+    self.excuse_if_paused(now);
     self.count_slow(now);
     auto const found = self.m_attempts.find(attempt_key{ticket, target});
     if (found == self.m_attempts.end())
@@ -1020,7 +1095,7 @@
         return;
     }
     bool const is_wrong = outcome == attempt_outcome::wrong;
-    if (attempt.m_counted && !is_wrong)
+    if (!is_wrong && (attempt.m_slow_counts > 0 || attempt.m_is_excused))
     {
         return;
     }
@@ -1088,6 +1163,8 @@
 std::vector<health_change> health_monitor::tick(time_point now)
 {
     auto& self = *m_implementation;
+    self.excuse_if_paused(now);
+    self.m_last_tick = now;
     self.count_slow(now);
     self.update_doubt(now);
     for (auto& [id, record] : self.m_upstreams)
--- a/src/service_baseline.cpp
+++ b/src/service_baseline.cpp
@@ -74,8 +74,9 @@
     {
         return least_ratio;
     }
-    double const bound =
-        others.m_bad - confidence * std::sqrt(std::max(others.m_bad, 0.0));
+    double const bad = std::clamp(others.m_bad, 0.0, others.m_total);
+    double const deviation = std::sqrt(bad * (1.0 - bad / others.m_total));
+    double const bound = bad - confidence * deviation;
     return std::clamp(bound / others.m_total, least_ratio, largest_ratio);
 }
 
