Make the random floor test eject more upstreams than the floor allows

With all upstreams equally bad, the comparison with the service's others ejected almost none, so the test hardly reached the floor. Half of the upstreams are sick now, and the variant that ignores the floor has to fail for every seed.

--- a/tests/health_test.cpp
+++ b/tests/health_test.cpp
@@ -169,10 +169,14 @@
         std::size_t const event = pick(100);
         if (event < 60)
         {
-            auto const bad = static_cast<std::uint32_t>(pick(4));
-            auto const wrong = static_cast<std::uint32_t>(pick(2));
-            test.receive(
-                static_cast<int>(1 + pick(6)), k, {"", 0, bad, bad, wrong});
+            // Six neighbouring upstreams are sick, others after a while.
+            std::size_t const first_sick = static_cast<std::size_t>(i) / 400;
+            bool const is_sick = (k + 12 - first_sick) % 12 < 6;
+            auto const bad = static_cast<std::uint32_t>(is_sick ? pick(4) : 0);
+            auto const wrong =
+                static_cast<std::uint32_t>(is_sick ? pick(2) : 0);
+            evidence const item{"", is_sick ? 0U : 1U, bad, bad, wrong};
+            test.receive(static_cast<int>(1 + pick(6)), k, item);
         }
         else if (event < 85)
         {
@@ -522,5 +526,9 @@
 TEST_CASE("the floor check finds a monitor that ignores the floor")
 {
     // A check that accepts everything would prove nothing.
-    CHECK(floor_violations(1, 0.0, 0.7) > 0);
+    for (std::uint64_t seed = 1; seed <= 8; ++seed)
+    {
+        CAPTURE(seed);
+        CHECK(floor_violations(seed, 0.0, 0.7) > 100);
+    }
 }
