--- a/src/health.cpp
+++ b/src/health.cpp
@@ -47,9 +47,10 @@
 /// Outcomes older than this say nothing about the present.
 constexpr std::chrono::seconds outcome_memory{60};
 
-/// Healthy ratios are at least this high. A wrong answer needs a fault.
+/// Healthy ratios are at least this high. A wrong answer passes the checksums
+/// of the network and needs a fault: two decide at any load.
 constexpr double least_fault_ratio = 0.01;
-constexpr double least_wrong_ratio = 1e-5;
+constexpr double least_wrong_ratio = 1e-7;
 
 /// Sick ratios that the tests are tuned to.
 constexpr double sick_fault_ratio = 0.5;
--- a/src/service_baseline.cpp
+++ b/src/service_baseline.cpp
@@ -14,8 +14,15 @@
 /// Standard deviations between the measured ratio and the bound used.
 constexpr double confidence = 2.0;
 
+/// Most bad outcomes of the others that may be chance.
+constexpr double largest_chance = 4.0;
+
+/// From this ratio on the others share a trouble. The upper bound is then the
+/// careful estimate: below the true ratio, each upstream's score would rise.
+constexpr double common_ratio = 0.1;
+
 /// At this ratio bad outcomes are so usual that they tell nothing.
-constexpr double largest_ratio = 0.9;
+constexpr double largest_ratio = 0.98;
 
 double seconds(duration value)
 {
@@ -76,8 +83,12 @@
     }
     double const bad = std::clamp(others.m_bad, 0.0, others.m_total);
     double const deviation = std::sqrt(bad * (1.0 - bad / others.m_total));
-    double const bound = bad - confidence * deviation;
-    return std::clamp(bound / others.m_total, least_ratio, largest_ratio);
+    double const margin = confidence * deviation;
+    double const lower =
+        (bad - std::min(margin, largest_chance)) / others.m_total;
+    double const upper = (bad + margin) / others.m_total;
+    return std::clamp(
+        lower < common_ratio ? lower : upper, least_ratio, largest_ratio);
 }
 
 } // namespace briarhub
--- a/src/service_baseline.hpp
+++ b/src/service_baseline.hpp
@@ -49,8 +49,8 @@
 };
 
 /// Healthy ratio of bad outcomes, from the counts of a service's other
-/// upstreams. The lower confidence bound keeps single bad outcomes at low
-/// traffic from hiding a sick upstream.
+/// upstreams. A few bad outcomes of theirs count as chance, so that they do not
+/// hide a sick upstream at low traffic; with many it is an upper bound.
 double healthy_ratio(outcome_counts others, double least_ratio);
 
 } // namespace briarhub
