--- a/src/health.cpp
+++ b/src/health.cpp
@@ -209,6 +209,8 @@
     fading_counts m_wrong_counts;
     outcome_rate m_own_rate;
     outcome_rate m_fleet_rate;
+    double m_local_threshold = 0.0; ///< as of the latest tick
+    double m_fleet_threshold = 0.0;
 
     [[nodiscard]] double window() const
     {
@@ -325,6 +327,25 @@
         }
         record.m_status = status;
         record.m_reason = reason;
+        activate(record);
+    }
+
+    void activate(upstream_record& record)
+    {
+        m_active.emplace(record.m_upstream.m_id, &record);
+    }
+
+    void deactivate_idle(time_point now)
+    {
+        std::erase_if(
+            m_active,
+            [&](auto const& item)
+            {
+                upstream_record const& record = *item.second;
+                return record.m_status == upstream_status::in_service &&
+                       record.score() <= 0.0 && !record.m_held_by_floor &&
+                       !record.m_own_latest.is_bad(now);
+            });
     }
 
     // Evidence.
@@ -344,6 +365,10 @@
         latest_outcome& latest =
             is_own ? record.m_own_latest : record.m_peer_latest;
         latest = {sums.m_fault + sums.m_wrong > sums.m_good, true, now};
+        if (sums.m_fault + sums.m_wrong > 0.0)
+        {
+            activate(record);
+        }
         if (is_own)
         {
             service.m_own_rate.add(now, sums.total());
@@ -430,7 +455,7 @@
         }
         if (!is_own || !m_doubts_itself)
         {
-            double const threshold = fleet_threshold(now, *record.m_service);
+            double const threshold = record.m_service->m_fleet_threshold;
             double const cap = pooled.has_single_reporter(now)
                                    ? 2.0 * threshold
                                    : reporter_share_limit * threshold;
@@ -503,18 +528,12 @@
             m_config.m_detection.m_false_ejections_per_hour / 2.0);
     }
 
-    [[nodiscard]] double
-    fleet_threshold(time_point now, service_record const& service) const
-    {
-        return threshold(
-            service.per_upstream(service.m_fleet_rate.per_hour(now)));
-    }
-
-    [[nodiscard]] double
-    local_threshold(time_point now, service_record const& service) const
+    void update_thresholds(time_point now, service_record& service) const
     {
-        return threshold(
-            service.per_upstream(service.m_own_rate.per_hour(now)));
+        service.m_local_threshold =
+            threshold(service.per_upstream(service.m_own_rate.per_hour(now)));
+        service.m_fleet_threshold =
+            threshold(service.per_upstream(service.m_fleet_rate.per_hour(now)));
     }
 
     // Slow attempts.
@@ -610,35 +629,47 @@
 
     void update_doubt(time_point now)
     {
-        std::map<failure_domain, std::pair<std::size_t, std::size_t>> domains;
-        std::size_t bad_upstreams = 0;
+        auto const bad = std::ranges::count_if(
+            m_active,
+            [&](auto const& item)
+            {
+                return looks_bad_here_only(now, *item.second);
+            });
+        bool const doubts =
+            static_cast<std::size_t>(bad) >= least_doubt_upstreams &&
+            count_bad_domains(now) >= 2;
+        if (doubts && !m_doubts_itself)
+        {
+            withdraw_own_evidence();
+        }
+        m_doubts_itself = doubts;
+    }
+
+    /// Failure domains of which more than half of the upstreams in use look
+    /// bad here only.
+    [[nodiscard]] std::ptrdiff_t count_bad_domains(time_point now) const
+    {
+        struct counts
+        {
+            std::size_t m_seen = 0;
+            std::size_t m_bad = 0;
+        };
+        std::map<failure_domain, counts> domains;
         for (auto const& [id, record] : m_upstreams)
         {
-            if (!record.m_own_latest.is_recent(now))
-            {
-                continue;
-            }
-            auto& [seen, bad] = domains[record.m_upstream.m_failure_domain];
-            ++seen;
-            if (looks_bad_here_only(now, record))
+            if (record.m_own_latest.is_recent(now))
             {
-                ++bad;
-                ++bad_upstreams;
+                counts& domain = domains[record.m_upstream.m_failure_domain];
+                ++domain.m_seen;
+                domain.m_bad += looks_bad_here_only(now, record) ? 1 : 0;
             }
         }
-        auto const bad_domains = std::ranges::count_if(
+        return std::ranges::count_if(
             domains,
             [](auto const& item)
             {
-                return 2 * item.second.second > item.second.first;
+                return 2 * item.second.m_bad > item.second.m_seen;
             });
-        bool const doubts =
-            bad_upstreams >= least_doubt_upstreams && bad_domains >= 2;
-        if (doubts && !m_doubts_itself)
-        {
-            withdraw_own_evidence();
-        }
-        m_doubts_itself = doubts;
     }
 
     void withdraw_own_evidence()
@@ -714,7 +745,7 @@
     [[nodiscard]] bool
     is_over_threshold(time_point now, upstream_record const& record) const
     {
-        double const limit = fleet_threshold(now, *record.m_service);
+        double const limit = record.m_service->m_fleet_threshold;
         double const score = record.m_pooled.m_fault.value();
         return score >= limit && score - common_score(record) >= limit &&
                record.m_pooled.m_fault.is_agreed(now);
@@ -735,16 +766,14 @@
             record.m_over_since &&
             now - *record.m_over_since >= confirmation_time;
         bool const is_wrong = record.m_pooled.m_wrong.value() >=
-                                  fleet_threshold(now, *record.m_service) &&
+                                  record.m_service->m_fleet_threshold &&
                               record.m_pooled.m_wrong.is_agreed(now);
         return is_confirmed || is_wrong;
     }
 
-    [[nodiscard]] bool
-    is_locally_sick(time_point now, upstream_record const& record) const
+    [[nodiscard]] static bool is_locally_sick(upstream_record const& record)
     {
-        return record.m_local.value() >=
-               local_threshold(now, *record.m_service);
+        return record.m_local.value() >= record.m_service->m_local_threshold;
     }
 
     static std::string reason_of(upstream_record const& record)
@@ -861,33 +890,16 @@
         upstream_status m_status = upstream_status::ejected;
     };
 
-    std::vector<candidate>
-    candidates(time_point now, service_record const& service) const
+    /// Upstreams to take out, the worst first.
+    std::vector<candidate> candidates(time_point now) const
     {
         std::vector<candidate> result;
-        for (upstream_record* record : service.m_upstreams)
+        for (auto const& [id, record] : m_active)
         {
-            if (record->is_draining() || record->score() <= 0.0 ||
-                (record->is_out() &&
-                 record->m_status != upstream_status::avoided))
+            if (auto const status = wanted_status(now, *record))
             {
-                continue;
+                result.push_back({record, *status});
             }
-            bool const sick = !m_doubts_itself && is_fleet_sick(now, *record);
-            bool const avoided =
-                !record->is_out() && is_locally_sick(now, *record);
-            if (!sick && !avoided)
-            {
-                record->m_held_by_floor = false;
-                continue;
-            }
-            if (reason_of(*record) != "wrong" && has_common_cause(now, *record))
-            {
-                continue;
-            }
-            result.push_back(
-                {record,
-                 sick ? upstream_status::ejected : upstream_status::avoided});
         }
         std::ranges::stable_sort(
             result,
@@ -899,9 +911,32 @@
         return result;
     }
 
-    void decide(time_point now, service_record const& service)
+    /// Whether and how the evidence takes an upstream out.
+    [[nodiscard]] std::optional<upstream_status>
+    wanted_status(time_point now, upstream_record& record) const
     {
-        for (candidate const& item : candidates(now, service))
+        bool const is_avoided = record.m_status == upstream_status::avoided;
+        if (record.is_draining() || (record.is_out() && !is_avoided))
+        {
+            return std::nullopt;
+        }
+        bool const ejects = is_fleet_sick(now, record) && !m_doubts_itself;
+        bool const avoids = !is_avoided && is_locally_sick(record);
+        if (!ejects && !avoids)
+        {
+            record.m_held_by_floor = false;
+            return std::nullopt;
+        }
+        if (reason_of(record) != "wrong" && has_common_cause(now, record))
+        {
+            return std::nullopt;
+        }
+        return ejects ? upstream_status::ejected : upstream_status::avoided;
+    }
+
+    void decide(time_point now)
+    {
+        for (candidate const& item : candidates(now))
         {
             if (item.m_record->is_out())
             {
@@ -944,9 +979,9 @@
     void return_to_service(time_point now, upstream_record& record)
     {
         double const prior =
-            return_score_share * fleet_threshold(now, *record.m_service);
+            return_score_share * record.m_service->m_fleet_threshold;
         double const local_prior =
-            return_score_share * local_threshold(now, *record.m_service);
+            return_score_share * record.m_service->m_local_threshold;
         record.m_pooled.m_fault.reset(prior);
         record.m_pooled.m_wrong.reset(prior);
         record.m_local.m_fault.reset(local_prior);
@@ -980,6 +1015,9 @@
     std::set<std::pair<time_point, attempt_key>> m_slow_due;
     std::optional<time_point> m_last_tick;
     std::set<upstream_id> m_news;
+    /// Upstreams with a score or out of usual service. Ticks look at no
+    /// others: a fleet has tens of thousands of upstreams.
+    std::map<upstream_id, upstream_record*> m_active;
     std::vector<health_change> m_changes;
     bool m_doubts_itself = false;
 };
@@ -1033,16 +1071,20 @@
             self.start_warming(now, record, "cold");
         }
     }
-    std::erase_if(
-        self.m_upstreams,
-        [&](auto const& item)
-        {
-            return !listed.contains(item.first);
-        });
+    auto const is_gone = [&](auto const& item)
+    {
+        return !listed.contains(item.first);
+    };
+    std::erase_if(self.m_active, is_gone);
+    std::erase_if(self.m_upstreams, is_gone);
     for (auto& [id, record] : self.m_upstreams)
     {
         record.m_service->m_upstreams.push_back(&record);
     }
+    for (auto& [name, service] : self.m_services)
+    {
+        self.update_thresholds(now, service);
+    }
     self.restore_floors();
 }
 
@@ -1168,27 +1210,28 @@
     self.m_last_tick = now;
     self.count_slow(now);
     self.update_doubt(now);
-    for (auto& [id, record] : self.m_upstreams)
+    for (auto& [name, service] : self.m_services)
     {
-        self.advance_status(now, record);
+        self.update_thresholds(now, service);
     }
-    for (auto const& [name, service] : self.m_services)
+    for (auto const& [id, record] : self.m_active)
     {
-        self.decide(now, service);
-        self.restore_floor(service);
+        self.advance_status(now, *record);
     }
+    self.decide(now);
+    self.deactivate_idle(now);
     return std::exchange(self.m_changes, {});
 }
 
 std::vector<upstream_id> health_monitor::take_probes(time_point now)
 {
     std::vector<upstream_id> result;
-    for (auto& [id, record] : m_implementation->m_upstreams)
+    for (auto const& [id, record] : m_implementation->m_active)
     {
-        if (record.m_status == upstream_status::probing &&
-            !record.is_draining() && now >= record.m_next_probe)
+        if (record->m_status == upstream_status::probing &&
+            !record->is_draining() && now >= record->m_next_probe)
         {
-            record.m_next_probe = now + return_probe_interval;
+            record->m_next_probe = now + return_probe_interval;
             result.push_back(id);
         }
     }
