--- a/src/briar_bench_main.cpp
+++ b/src/briar_bench_main.cpp
@@ -2,6 +2,7 @@
 /// and prints figures and their signature.
 
 #include "bench_result.hpp"
+#include "health_bench.hpp"
 #include "rate_bench.hpp"
 
 #include <cxxopts.hpp>
@@ -32,6 +33,18 @@
         "rates",
         "refusals within rate, excess and messages of rate shares",
         run_rate_bench},
+    subcommand{
+        "health",
+        "detection times and false ejections of the health monitors",
+        run_health_bench},
+    subcommand{
+        "health-sweep",
+        "detection and false ejections over the false alarm setting",
+        run_health_sweep},
+    subcommand{
+        "dispatch",
+        "success of the worst-served account under a flood",
+        run_dispatch_bench},
 };
 
 subcommand const* find_subcommand(std::string_view name)
--- /dev/null
+++ b/src/dispatch_run.hpp
@@ -0,0 +1,47 @@
+#ifndef BRIARHUB_DISPATCH_RUN_HPP
+#define BRIARHUB_DISPATCH_RUN_HPP
+
+/// One seeded run of the dispatchers of a fleet against upstreams with slots,
+/// a short accept queue and load shedding. There is no health monitor in it.
+
+#include "types.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace briarhub
+{
+
+enum class bench_dispatch
+{
+    fair,       ///< `dispatcher`
+    round_robin ///< one first-in first-out queue on each VM, round robin
+};
+
+struct dispatch_setup
+{
+    bench_dispatch m_dispatch = bench_dispatch::fair;
+    std::size_t m_vms = 36;
+    std::size_t m_upstreams = 25;
+    std::uint32_t m_slots = 2;
+    std::size_t m_accounts = 8;
+    double m_account_rate = 30.0; ///< requests per second of each account
+    double m_flood_factor = 5.0;  ///< of the first account
+    std::size_t m_slow_every = 5; ///< one upstream in this many is slow
+    std::chrono::seconds m_time{60};
+    std::uint64_t m_seed = 1;
+};
+
+struct dispatch_figures
+{
+    /// Share of an account's requests answered within 500 ms.
+    double m_worst_account = 0.0; ///< of the accounts that do not flood
+    double m_flooding_account = 0.0;
+};
+
+dispatch_figures run_dispatch(dispatch_setup const& setup);
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/health_bench.cpp
@@ -0,0 +1,322 @@
+#include "health_bench.hpp"
+
+#include "detection_run.hpp"
+#include "dispatch_run.hpp"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <future>
+#include <string>
+#include <string_view>
+
+namespace briarhub
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Independent runs for each figure, and how many run at the same time.
+constexpr std::size_t runs_per_figure = 3;
+constexpr std::size_t parallel_runs = 4;
+
+constexpr double day_rate = 300.0;
+constexpr double night_rate = 4.0;
+
+/// Healthy time before the fault: both loads learn the usual latency.
+constexpr auto day_healthy_time = 60s;
+constexpr auto night_healthy_time = 300s;
+
+/// A detection that takes longer counts as this long.
+constexpr auto longest_detection = 300s;
+
+/// Traffic for each false ejection figure.
+constexpr auto false_ejection_time = 1200s;
+
+constexpr double seconds_per_hour = 3600.0;
+
+struct fault_name
+{
+    bench_fault m_fault;
+    std::string_view m_name;
+};
+
+constexpr fault_name detected_faults[] = {
+    {bench_fault::hang, "hang"},
+    {bench_fault::slow, "slow"},
+    {bench_fault::wrong, "wrong"},
+    {bench_fault::error, "error"},
+    {bench_fault::flap, "flap"}};
+
+constexpr fault_name harmless_faults[] = {
+    {bench_fault::none, "all healthy"},
+    {bench_fault::slow_all, "service slow"},
+    {bench_fault::vm_network, "one VM's network bad"},
+    {bench_fault::path, "one path bad"}};
+
+detection_setup
+make_setup(std::size_t upstreams, std::uint32_t slots, double rate)
+{
+    detection_setup setup;
+    setup.m_upstreams = upstreams;
+    setup.m_slots = slots;
+    setup.m_requests_per_s = rate;
+    setup.m_healthy_time =
+        rate == day_rate ? day_healthy_time : night_healthy_time;
+    setup.m_fault_time = longest_detection;
+    return setup;
+}
+
+/// The figures of `runs_per_figure` seeds for each setup.
+std::vector<std::vector<detection_figures>>
+run_all(std::vector<detection_setup> const& setups, std::uint64_t seed)
+{
+    std::vector<detection_setup> runs;
+    for (detection_setup setup : setups)
+    {
+        for (std::size_t i = 0; i < runs_per_figure; ++i)
+        {
+            setup.m_seed = seed + i;
+            runs.push_back(setup);
+        }
+    }
+    std::vector<detection_figures> figures(runs.size());
+    auto const work = [&](std::size_t first)
+    {
+        for (std::size_t i = first; i < runs.size(); i += parallel_runs)
+        {
+            figures[i] = run_detection(runs[i]);
+        }
+    };
+    std::vector<std::future<void>> workers;
+    for (std::size_t i = 0; i < parallel_runs; ++i)
+    {
+        workers.push_back(std::async(std::launch::async, work, i));
+    }
+    for (auto& worker : workers)
+    {
+        worker.get();
+    }
+    std::vector<std::vector<detection_figures>> result;
+    for (std::size_t i = 0; i < figures.size(); i += runs_per_figure)
+    {
+        auto const start = figures.begin() + static_cast<std::ptrdiff_t>(i);
+        result.emplace_back(start, start + runs_per_figure);
+    }
+    return result;
+}
+
+std::vector<double> detection_times(std::vector<detection_figures> const& runs)
+{
+    std::vector<double> times;
+    for (detection_figures const& run : runs)
+    {
+        times.push_back(run.m_detection.count());
+    }
+    std::ranges::sort(times);
+    return times;
+}
+
+double ejections_per_upstream_hour(
+    std::vector<detection_figures> const& runs, detection_setup const& setup)
+{
+    std::size_t ejections = 0;
+    for (detection_figures const& run : runs)
+    {
+        ejections += run.m_false_ejections;
+    }
+    std::chrono::duration<double> const time =
+        setup.m_healthy_time + setup.m_fault_time;
+    double const upstream_hours = static_cast<double>(runs.size()) *
+                                  static_cast<double>(setup.m_upstreams) *
+                                  time.count() / seconds_per_hour;
+    return static_cast<double>(ejections) / upstream_hours;
+}
+
+std::string command_of(std::string_view subcommand, std::uint64_t seed)
+{
+    return fmt::format("briar-bench {} --seed {}", subcommand, seed);
+}
+
+struct load
+{
+    std::string m_name;
+    detection_setup m_setup;
+};
+
+std::vector<load> loads()
+{
+    std::vector<load> result;
+    for (auto const& [upstreams, slots] :
+         {std::pair{25, 2U}, std::pair{20, 4U}})
+    {
+        for (double const rate : {day_rate, night_rate})
+        {
+            result.push_back(
+                {fmt::format("{}x{} {}/s", upstreams, slots, rate),
+                 make_setup(static_cast<std::size_t>(upstreams), slots, rate)});
+        }
+    }
+    return result;
+}
+
+/// Targets of the median detection time.
+double detection_target_s(double rate)
+{
+    constexpr double day_target_s = 5.0;
+    constexpr double night_target_s = 60.0;
+    return rate == day_rate ? day_target_s : night_target_s;
+}
+
+void add_detection(
+    load const& at, std::uint64_t seed, std::vector<bench_result>& results)
+{
+    std::vector<detection_setup> setups;
+    for (fault_name const& fault : detected_faults)
+    {
+        detection_setup setup = at.m_setup;
+        setup.m_fault = fault.m_fault;
+        setups.push_back(setup);
+        setup.m_detector = bench_detector::consecutive_errors;
+        setups.push_back(setup);
+    }
+    auto const figures = run_all(setups, seed);
+    for (std::size_t i = 0; i < std::size(detected_faults); ++i)
+    {
+        auto const times = detection_times(figures[2 * i]);
+        auto const baseline = detection_times(figures[2 * i + 1]);
+        std::string const name = fmt::format(
+            "{} detection, {}", detected_faults[i].m_name, at.m_name);
+        std::size_t const middle = times.size() / 2;
+        results.push_back(
+            {name + ", median",
+             "s",
+             baseline[middle],
+             times[middle],
+             detection_target_s(at.m_setup.m_requests_per_s),
+             seed,
+             command_of("health", seed)});
+        results.push_back(
+            {name + ", worst",
+             "s",
+             baseline.back(),
+             times.back(),
+             {},
+             seed,
+             command_of("health", seed)});
+    }
+}
+
+void add_false_ejections(
+    load const& at, std::uint64_t seed, std::vector<bench_result>& results)
+{
+    std::vector<detection_setup> setups;
+    for (fault_name const& fault : harmless_faults)
+    {
+        detection_setup setup = at.m_setup;
+        setup.m_fault = fault.m_fault;
+        setup.m_fault_time = false_ejection_time;
+        setups.push_back(setup);
+        setup.m_detector = bench_detector::consecutive_errors;
+        setups.push_back(setup);
+    }
+    auto const figures = run_all(setups, seed);
+    for (std::size_t i = 0; i < std::size(harmless_faults); ++i)
+    {
+        results.push_back(
+            {fmt::format(
+                 "false ejections, {}, {}",
+                 harmless_faults[i].m_name,
+                 at.m_name),
+             "1/upstream-h",
+             ejections_per_upstream_hour(figures[2 * i + 1], setups[2 * i]),
+             ejections_per_upstream_hour(figures[2 * i], setups[2 * i]),
+             at.m_setup.m_false_ejections_per_hour,
+             seed,
+             command_of("health", seed)});
+    }
+}
+
+} // namespace
+
+std::vector<bench_result> run_health_bench(std::uint64_t seed)
+{
+    std::vector<bench_result> results;
+    for (load const& at : loads())
+    {
+        add_detection(at, seed, results);
+    }
+    for (load const& at : loads())
+    {
+        if (at.m_setup.m_slots == detection_setup{}.m_slots)
+        {
+            add_false_ejections(at, seed, results);
+        }
+    }
+    return results;
+}
+
+std::vector<bench_result> run_health_sweep(std::uint64_t seed)
+{
+    std::vector<bench_result> results;
+    for (double const setting : {0.0001, 0.001, 0.01, 0.1, 1.0, 10.0})
+    {
+        detection_setup setup = make_setup(25, 2, day_rate);
+        setup.m_false_ejections_per_hour = setting;
+        detection_setup sick = setup;
+        sick.m_fault = bench_fault::hang;
+        detection_setup night = make_setup(25, 2, night_rate);
+        night.m_false_ejections_per_hour = setting;
+        night.m_fault = bench_fault::hang;
+        setup.m_fault_time = false_ejection_time;
+        auto const figures = run_all({sick, night, setup}, seed);
+        auto const add = [&](char const* name, char const* unit, double value)
+        {
+            results.push_back(
+                {fmt::format("{}, setting {}/h", name, setting),
+                 unit,
+                 {},
+                 value,
+                 {},
+                 seed,
+                 command_of("health-sweep", seed)});
+        };
+        std::size_t const middle = runs_per_figure / 2;
+        add("hang detection by day", "s", detection_times(figures[0])[middle]);
+        add("hang detection at night",
+            "s",
+            detection_times(figures[1])[middle]);
+        add("false ejections by day",
+            "1/upstream-h",
+            ejections_per_upstream_hour(figures[2], setup));
+    }
+    return results;
+}
+
+std::vector<bench_result> run_dispatch_bench(std::uint64_t seed)
+{
+    dispatch_setup setup;
+    setup.m_seed = seed;
+    dispatch_figures const value = run_dispatch(setup);
+    setup.m_dispatch = bench_dispatch::round_robin;
+    dispatch_figures const baseline = run_dispatch(setup);
+    constexpr double target = 0.95;
+    return {
+        {"worst-served account within 500 ms, flood, 1 in 5 slow",
+         "share",
+         baseline.m_worst_account,
+         value.m_worst_account,
+         target,
+         seed,
+         command_of("dispatch", seed)},
+        {"flooding account within 500 ms",
+         "share",
+         baseline.m_flooding_account,
+         value.m_flooding_account,
+         {},
+         seed,
+         command_of("dispatch", seed)}};
+}
+
+} // namespace briarhub
