--- a/src/briar_bench_main.cpp
+++ b/src/briar_bench_main.cpp
@@ -3,6 +3,7 @@
 
 #include "bench_result.hpp"
 #include "claim_bench.hpp"
+#include "health_bench.hpp"
 #include "rate_bench.hpp"
 
 #include <cxxopts.hpp>
@@ -39,6 +40,18 @@
         "claims-cost",
         "resident memory and fold time of claims; differ between runs",
         run_claim_cost_bench},
+    subcommand{
+        "health",
+        "detection times and false ejections of the health monitors",
+        run_health_bench},
+    subcommand{
+        "health-sweep",
+        "detection and false ejections over the false alarm setting",
+        run_health_sweep},
+    subcommand{
+        "dispatch",
+        "success of the worst-served account under a flood",
+        run_dispatch_bench},
 };
 
 subcommand const* find_subcommand(std::string_view name)
--- a/src/briar_scale_main.cpp
+++ b/src/briar_scale_main.cpp
@@ -19,8 +19,7 @@
     cxxopts::Options options{
         "briar-scale", "Costs of the modules at the size of a large fleet"};
     scale_size size;
-    options.add_options()(
-        "vms", "entry VMs", cxxopts::value(size.m_vms))(
+    options.add_options()("vms", "entry VMs", cxxopts::value(size.m_vms))(
         "upstreams", "upstreams", cxxopts::value(size.m_upstreams))(
         "services", "services", cxxopts::value(size.m_services))(
         "work-classes", "work classes", cxxopts::value(size.m_work_classes))(
--- a/src/scale_bench.cpp
+++ b/src/scale_bench.cpp
@@ -12,11 +12,9 @@
 #include "routing.hpp"
 
 #include <fmt/format.h>
-
 #include <malloc.h>
 
 #include <ctime>
-
 #include <functional>
 #include <memory>
 #include <string>
@@ -82,7 +80,7 @@
 /// Collects the results of one run.
 class collector
 {
-  public:
+public:
     explicit collector(std::uint64_t seed) : m_seed(seed)
     {
     }
@@ -100,12 +98,20 @@
 
     /// Slopes of making an object of `count` entities.
     template <class Make>
-    void add_slopes(
-        std::string const& name, std::size_t count, Make const& make)
+    void
+    add_slopes(std::string const& name, std::size_t count, Make const& make)
     {
         std::size_t const half = count / 2;
-        cost const small = measure_make([&] { return make(half); });
-        cost const large = measure_make([&] { return make(count); });
+        cost const small = measure_make(
+            [&]
+            {
+                return make(half);
+            });
+        cost const large = measure_make(
+            [&]
+            {
+                return make(count);
+            });
         auto const step = static_cast<double>(count - half);
         add(name + "/memory", "B", (large.m_bytes - small.m_bytes) / step);
         add(name + "/cpu",
@@ -118,7 +124,7 @@
         return std::move(m_results);
     }
 
-  private:
+private:
     std::uint64_t m_seed;
     std::vector<bench_result> m_results;
 };
@@ -161,8 +167,8 @@
         entry.m_service = fmt::format("service-{:04}", i % services);
         entry.m_failure_domain =
             fmt::format("domain-{}", i % failure_domain_count);
-        entry.m_address = fmt::format(
-            "10.{}.{}.{}:7000", i / 65'536, i / 256 % 256, i % 256);
+        entry.m_address =
+            fmt::format("10.{}.{}.{}:7000", i / 65'536, i / 256 % 256, i % 256);
         entry.m_slots = 4;
         result.push_back(std::move(entry));
     }
