--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -593,7 +593,7 @@
     test_vm& a = *fleet.m_vms[0];
     test_vm& b = *fleet.m_vms[1];
     b.m_control->receive(
-        addressed_loan_message{"a", loan_request{"shop", 7, 0.5, 2.0}});
+        addressed_loan_message{"a", loan_request{"shop", 7, 3, 0.5, 2.0}});
     fleet.wait_until(
         [&]
         {
--- a/tests/peer_messages_test.cpp
+++ b/tests/peer_messages_test.cpp
@@ -115,7 +115,8 @@
         serialize(make_probe()),
         serialize(make_records()),
         serialize(records_request{sender, 9}),
-        serialize(sent_loan_message<loan_request>{sender, {"a", 1, 0.5, 2.0}}),
+        serialize(
+            sent_loan_message<loan_request>{sender, {"a", 1, 3, 0.5, 2.0}}),
         serialize(loan_reply{"a", 1, 2, 0.5, 2.0, 5s})};
     for (int i = 0; i < 20'000; ++i)
     {
