--- a/src/loan_planner.cpp
+++ b/src/loan_planner.cpp
@@ -15,6 +15,9 @@
 /// Surplus of a wanted amount that covers rounding.
 constexpr double token_slack = 1e-4;
 
+/// A missing fraction below this part of the need is not worth the messages.
+constexpr double min_lacking_part = 0.25;
+
 /// A lender that had too little is not asked for this time, doubled with each
 /// further refusal up to the limit.
 constexpr std::chrono::milliseconds min_refusal_pause{20};
@@ -92,7 +95,7 @@
 
 void loan_planner::plan(account_share& share, loan_context& context)
 {
-    forget_old(share, context.m_now);
+    forget_old(context.m_now);
     if (is_idle(share, context.m_now))
     {
         m_demand.reset();
@@ -107,7 +110,7 @@
 
 /// Waiting requests that were given up without a word, and replies that would
 /// come too late to be of use.
-void loan_planner::forget_old(account_share const&, time_point now)
+void loan_planner::forget_old(time_point now)
 {
     std::erase_if(
         m_waiting,
@@ -258,7 +261,8 @@
     std::vector<std::pair<loan_id, vm_id>> due;
     for (auto const& [id, loan] : share.borrowed_loans())
     {
-        if (loan.m_end - renewal_lead <= now && !is_asked(loan.m_lender, now))
+        if (loan.m_end - renewal_lead <= now && !is_asked(loan.m_lender, now) &&
+            !is_paused(loan.m_lender, now))
         {
             due.emplace_back(id, loan.m_lender);
         }
@@ -322,15 +326,19 @@
     return sum;
 }
 
+bool loan_planner::is_paused(vm_id const& lender, time_point now) const
+{
+    auto const refusals = m_refusals.find(lender);
+    return refusals != m_refusals.end() && refusals->second.m_pause_until > now;
+}
+
 std::vector<vm_id> loan_planner::usable_lenders(loan_context& context) const
 {
     std::vector<vm_id> usable;
     for (vm_id const& lender : m_lenders)
     {
-        auto const refused = m_refusals.find(lender);
-        bool const pauses = refused != m_refusals.end() &&
-                            refused->second.m_pause_until > context.m_now;
-        if (!pauses && !is_asked(lender, context.m_now))
+        if (!is_paused(lender, context.m_now) &&
+            !is_asked(lender, context.m_now))
         {
             usable.push_back(lender);
         }
@@ -345,43 +353,46 @@
     share_amount const expected = pending(now);
     share_amount const need = own_need(share, now);
     double const tokens = share.tokens() + expected.m_tokens;
-    double fraction = need.m_fraction - share.fraction() - expected.m_fraction;
+    double const fraction =
+        need.m_fraction - share.fraction() - expected.m_fraction;
     bool const lacks_tokens = tokens < need.m_tokens;
-    bool const lacks_fraction = fraction > 0.25 * need.m_fraction;
+    bool const lacks_fraction = fraction > min_lacking_part * need.m_fraction;
     if (!lacks_tokens && !lacks_fraction)
     {
         return;
     }
-    double missing = 0.0;
-    if (lacks_tokens)
-    {
-        double const batch = std::max(1.0, stock(m_policy.m_batch, now));
-        missing = std::max(0.0, batch - tokens + token_slack);
-    }
+    double const batch = std::max(1.0, stock(m_policy.m_batch, now));
+    double const missing =
+        lacks_tokens ? std::max(0.0, batch - tokens + token_slack) : 0.0;
     // This VM's own loans to others are the nearest reserve.
     if (!m_waiting.empty() && missing > 0.0)
     {
         send_recalls(share, {}, missing / m_burst, context);
     }
+    ask_lenders(share, {fraction, missing}, context);
+}
+
+/// Asks each lender for at most the share of a home.
+void loan_planner::ask_lenders(
+    account_share const& share, share_amount missing, loan_context& context)
+{
     double const home_fraction =
         1.0 / double(std::max<std::size_t>(1, m_home_count));
     std::size_t asked = 0;
     for (vm_id const& lender : usable_lenders(context))
     {
-        bool const enough = missing <= 0.0 && fraction <= 0.0;
-        if (asked == m_policy.m_lenders || enough)
-        {
-            return;
-        }
+        bool const is_enough =
+            missing.m_fraction <= 0.0 && missing.m_tokens <= 0.0;
         share_amount const wanted{
-            std::clamp(fraction, 0.0, home_fraction),
-            std::clamp(missing, 0.0, home_fraction * m_burst)};
-        if (!ask(share, lender, wanted, context))
+            std::clamp(missing.m_fraction, 0.0, home_fraction),
+            std::clamp(missing.m_tokens, 0.0, home_fraction * m_burst)};
+        if (is_enough || asked == m_policy.m_lenders ||
+            !ask(share, lender, wanted, context))
         {
             return;
         }
-        fraction -= wanted.m_fraction;
-        missing -= wanted.m_tokens;
+        missing.m_fraction -= wanted.m_fraction;
+        missing.m_tokens -= wanted.m_tokens;
         ++asked;
     }
 }
@@ -461,8 +472,18 @@
     {
         return;
     }
-    auto const known = share.borrowed_loans().find(reply.m_loan_id);
-    bool const is_known = known != share.borrowed_loans().end();
+    accept(share, now, request, reply);
+}
+
+/// A reply is taken only while its loan runs and has not been returned.
+void loan_planner::accept(
+    account_share& share,
+    time_point now,
+    pending_request const& request,
+    loan_reply const& reply)
+{
+    auto const& loans = share.borrowed_loans();
+    bool const is_known = loans.contains(reply.m_loan_id);
     bool const is_renewal = request.m_renewed_loan != 0;
     bool const matches =
         is_renewal ? is_known && reply.m_loan_id == request.m_renewed_loan
@@ -474,7 +495,11 @@
         return;
     }
     share.add_borrowed(
-        now, reply.m_loan_id, from, {reply.m_fraction, reply.m_tokens}, end);
+        now,
+        reply.m_loan_id,
+        request.m_lender,
+        {reply.m_fraction, reply.m_tokens},
+        end);
 }
 
 std::optional<time_point>
@@ -493,7 +518,10 @@
     }
     for (auto const& [id, request] : m_pending)
     {
-        next = std::min(next, request.m_last_sent_at + reply_timeout);
+        if (request.m_sends < max_request_sends)
+        {
+            next = std::min(next, request.m_last_sent_at + reply_timeout);
+        }
     }
     return std::max(next, now + plan_interval);
 }
--- a/src/loan_planner.hpp
+++ b/src/loan_planner.hpp
@@ -97,12 +97,22 @@
     next_plan(account_share const& share, time_point now) const;
 
 private:
-    void forget_old(account_share const& share, time_point now);
+    void forget_old(time_point now);
     void return_all(account_share& share, loan_context& context);
     void return_excess(account_share& share, loan_context& context);
     void renew(account_share& share, loan_context& context);
     void repeat_requests(account_share const& share, loan_context& context);
     void borrow(account_share& share, loan_context& context);
+    void ask_lenders(
+        account_share const& share,
+        share_amount missing,
+        loan_context& context);
+    static void accept(
+        account_share& share,
+        time_point now,
+        pending_request const& request,
+        loan_reply const& reply);
+    [[nodiscard]] bool is_paused(vm_id const& lender, time_point now) const;
     void give_back(
         account_share& share,
         loan_id id,
