--- a/src/account_homes.hpp
+++ b/src/account_homes.hpp
@@ -17,7 +17,8 @@
 inline constexpr std::size_t max_homes = 64;
 
 /// Burst per home. Few homes keep the tokens of small accounts together: with
-/// one home per two tokens, 3 times as many requests within rate were refused.
+/// one home per two tokens an account of 20/s and burst 20 had 0.92% of its
+/// requests within rate refused instead of 0.24% (briar-bench rates).
 inline constexpr double home_burst = 10.0;
 
 /// Each account that can have whole tokens at two homes has two, so that the
