--- a/src/account_share.cpp
+++ b/src/account_share.cpp
@@ -139,7 +139,7 @@
     double const carrier = offered / burst + 2 * fraction_unit;
     double const granted =
         floor_fraction(std::min(std::max(wanted.m_fraction, carrier), spare));
-    if (granted <= 2 * fraction_unit)
+    if (burst <= 0.0 || granted <= 2 * fraction_unit)
     {
         return {};
     }
@@ -202,6 +202,7 @@
     loan.m_lender = lender;
     loan.m_fraction += added.m_fraction;
     loan.m_end = std::max(loan.m_end, end);
+    loan.m_changed_at = added.m_fraction > 0.0 ? now : loan.m_changed_at;
     m_borrowed += added.m_fraction;
     apply_limits(now);
     m_bucket.add(
--- a/src/health.cpp
+++ b/src/health.cpp
@@ -47,16 +47,22 @@
 /// Outcomes older than this say nothing about the present.
 constexpr std::chrono::seconds outcome_memory{60};
 
-/// Healthy ratios are at least this high. A wrong answer needs a fault.
+/// Healthy ratios are at least this high. A wrong answer passes the checksums
+/// of the network and needs a fault: two decide at any load.
 constexpr double least_fault_ratio = 0.01;
-constexpr double least_wrong_ratio = 1e-5;
+constexpr double least_wrong_ratio = 1e-7;
 
 /// Sick ratios that the tests are tuned to.
 constexpr double sick_fault_ratio = 0.5;
 constexpr double sick_wrong_ratio = 0.05;
 
+/// A pause of an upstream, for example for garbage collection, delays all
+/// attempts in flight at once. A score has to stay over the threshold for this
+/// long, so that the outcomes after a short pause count too.
+constexpr std::chrono::milliseconds confirmation_time{500};
+
 /// One reporter adds at most this share of the threshold.
-constexpr double reporter_share_limit = 0.5;
+constexpr double reporter_share_limit = 0.6;
 
 /// Outcomes of the service over which its usual ratio is taken, for each of
 /// its upstreams.
@@ -75,6 +81,14 @@
 constexpr int slow_per_target = 2;
 constexpr int slow_per_median = 4;
 
+/// An attempt this many times older than the evidence limit counts once more:
+/// such an age is as rare among slow healthy attempts as those are among all.
+constexpr int very_slow_multiple = 4;
+
+/// Without a tick for this long the VM was paused. Ages of attempts then tell
+/// about this VM and not about upstreams.
+constexpr std::chrono::seconds pause_limit{1};
+
 /// Evidence of slowness needs at least this age: shorter delays come from the
 /// scheduling of small VMs.
 constexpr std::chrono::milliseconds least_slow_age{20};
@@ -137,7 +151,8 @@
     time_point m_out_until{};
     time_point m_next_probe{};
     double m_score_when_out = 0.0;
-    int m_ejections = 0; ///< within `ejection_memory`
+    std::optional<time_point> m_over_since; ///< fault score over the threshold
+    int m_ejections = 0;                    ///< within `ejection_memory`
     time_point m_last_ejection{};
 
     local_scores m_local;
@@ -194,6 +209,8 @@
     fading_counts m_wrong_counts;
     outcome_rate m_own_rate;
     outcome_rate m_fleet_rate;
+    double m_local_threshold = 0.0; ///< as of the latest tick
+    double m_fleet_threshold = 0.0;
 
     [[nodiscard]] double window() const
     {
@@ -214,8 +231,10 @@
     service_name m_service;
     work_class_name m_work_class;
     time_point m_started{};
-    time_point m_slow_at{};
-    bool m_counted = false;
+    time_point m_slow_at{}; ///< when it counts as slow next
+    duration m_slow_limit{};
+    int m_slow_counts = 0;
+    bool m_is_excused = false; ///< in flight while this VM was paused
 };
 
 using attempt_key = std::pair<request_ticket, upstream_id>;
@@ -308,6 +327,25 @@
         }
         record.m_status = status;
         record.m_reason = reason;
+        activate(record);
+    }
+
+    void activate(upstream_record& record)
+    {
+        m_active.emplace(record.m_upstream.m_id, &record);
+    }
+
+    void deactivate_idle(time_point now)
+    {
+        std::erase_if(
+            m_active,
+            [&](auto const& item)
+            {
+                upstream_record const& record = *item.second;
+                return record.m_status == upstream_status::in_service &&
+                       record.score() <= 0.0 && !record.m_held_by_floor &&
+                       !record.m_own_latest.is_bad(now);
+            });
     }
 
     // Evidence.
@@ -327,6 +365,10 @@
         latest_outcome& latest =
             is_own ? record.m_own_latest : record.m_peer_latest;
         latest = {sums.m_fault + sums.m_wrong > sums.m_good, true, now};
+        if (sums.m_fault + sums.m_wrong > 0.0)
+        {
+            activate(record);
+        }
         if (is_own)
         {
             service.m_own_rate.add(now, sums.total());
@@ -413,7 +455,7 @@
         }
         if (!is_own || !m_doubts_itself)
         {
-            double const threshold = fleet_threshold(now, *record.m_service);
+            double const threshold = record.m_service->m_fleet_threshold;
             double const cap = pooled.has_single_reporter(now)
                                    ? 2.0 * threshold
                                    : reporter_share_limit * threshold;
@@ -486,18 +528,12 @@
             m_config.m_detection.m_false_ejections_per_hour / 2.0);
     }
 
-    [[nodiscard]] double
-    fleet_threshold(time_point now, service_record const& service) const
-    {
-        return threshold(
-            service.per_upstream(service.m_fleet_rate.per_hour(now)));
-    }
-
-    [[nodiscard]] double
-    local_threshold(time_point now, service_record const& service) const
+    void update_thresholds(time_point now, service_record& service) const
     {
-        return threshold(
-            service.per_upstream(service.m_own_rate.per_hour(now)));
+        service.m_local_threshold =
+            threshold(service.per_upstream(service.m_own_rate.per_hour(now)));
+        service.m_fleet_threshold =
+            threshold(service.per_upstream(service.m_fleet_rate.per_hour(now)));
     }
 
     // Slow attempts.
@@ -549,8 +585,13 @@
             attempt_key const key = m_slow_due.begin()->second;
             m_slow_due.erase(m_slow_due.begin());
             attempt_record& attempt = m_attempts.at(key);
-            attempt.m_counted = true;
-            add_latency(attempt, now - attempt.m_started);
+            if (attempt.m_slow_counts++ == 0)
+            {
+                add_latency(attempt, now - attempt.m_started);
+                attempt.m_slow_at = attempt.m_started +
+                                    very_slow_multiple * attempt.m_slow_limit;
+                m_slow_due.emplace(attempt.m_slow_at, key);
+            }
             if (upstream_record* record = find(key.second))
             {
                 add_own(now, *record, attempt_outcome::slow);
@@ -558,6 +599,19 @@
         }
     }
 
+    void excuse_if_paused(time_point now)
+    {
+        if (!m_last_tick || now - *m_last_tick <= pause_limit)
+        {
+            return;
+        }
+        m_slow_due.clear();
+        for (auto& [key, attempt] : m_attempts)
+        {
+            attempt.m_is_excused = true;
+        }
+    }
+
     void add_latency(attempt_record const& attempt, duration age)
     {
         m_services[attempt.m_service].m_medians[attempt.m_work_class].add(age);
@@ -575,35 +629,47 @@
 
     void update_doubt(time_point now)
     {
-        std::map<failure_domain, std::pair<std::size_t, std::size_t>> domains;
-        std::size_t bad_upstreams = 0;
+        auto const bad = std::ranges::count_if(
+            m_active,
+            [&](auto const& item)
+            {
+                return looks_bad_here_only(now, *item.second);
+            });
+        bool const doubts =
+            static_cast<std::size_t>(bad) >= least_doubt_upstreams &&
+            count_bad_domains(now) >= 2;
+        if (doubts && !m_doubts_itself)
+        {
+            withdraw_own_evidence();
+        }
+        m_doubts_itself = doubts;
+    }
+
+    /// Failure domains of which more than half of the upstreams in use look
+    /// bad here only.
+    [[nodiscard]] std::ptrdiff_t count_bad_domains(time_point now) const
+    {
+        struct counts
+        {
+            std::size_t m_seen = 0;
+            std::size_t m_bad = 0;
+        };
+        std::map<failure_domain, counts> domains;
         for (auto const& [id, record] : m_upstreams)
         {
-            if (!record.m_own_latest.is_recent(now))
-            {
-                continue;
-            }
-            auto& [seen, bad] = domains[record.m_upstream.m_failure_domain];
-            ++seen;
-            if (looks_bad_here_only(now, record))
+            if (record.m_own_latest.is_recent(now))
             {
-                ++bad;
-                ++bad_upstreams;
+                counts& domain = domains[record.m_upstream.m_failure_domain];
+                ++domain.m_seen;
+                domain.m_bad += looks_bad_here_only(now, record) ? 1 : 0;
             }
         }
-        auto const bad_domains = std::ranges::count_if(
+        return std::ranges::count_if(
             domains,
             [](auto const& item)
             {
-                return 2 * item.second.second > item.second.first;
+                return 2 * item.second.m_bad > item.second.m_seen;
             });
-        bool const doubts =
-            bad_upstreams >= least_doubt_upstreams && bad_domains >= 2;
-        if (doubts && !m_doubts_itself)
-        {
-            withdraw_own_evidence();
-        }
-        m_doubts_itself = doubts;
     }
 
     void withdraw_own_evidence()
@@ -654,23 +720,60 @@
         return seen > 0 && 2 * bad > seen;
     }
 
-    [[nodiscard]] bool
-    is_fleet_sick(time_point now, upstream_record const& record) const
+    /// Median fault score of the service's other upstreams. What they have in
+    /// common is no evidence against one of them.
+    static double common_score(upstream_record const& record)
     {
-        double const limit = fleet_threshold(now, *record.m_service);
-        auto const decides = [&](pooled_score const& score)
+        std::vector<double> scores;
+        for (upstream_record const* other : record.m_service->m_upstreams)
         {
-            return score.value() >= limit && score.is_agreed(now);
-        };
-        return decides(record.m_pooled.m_fault) ||
-               decides(record.m_pooled.m_wrong);
+            if (other != &record)
+            {
+                scores.push_back(other->m_pooled.m_fault.value());
+            }
+        }
+        if (scores.empty())
+        {
+            return 0.0;
+        }
+        auto const middle =
+            scores.begin() + static_cast<std::ptrdiff_t>(scores.size() / 2);
+        std::nth_element(scores.begin(), middle, scores.end());
+        return *middle;
     }
 
     [[nodiscard]] bool
-    is_locally_sick(time_point now, upstream_record const& record) const
+    is_over_threshold(time_point now, upstream_record const& record) const
     {
-        return record.m_local.value() >=
-               local_threshold(now, *record.m_service);
+        double const limit = record.m_service->m_fleet_threshold;
+        double const score = record.m_pooled.m_fault.value();
+        return score >= limit && score - common_score(record) >= limit &&
+               record.m_pooled.m_fault.is_agreed(now);
+    }
+
+    [[nodiscard]] bool
+    is_fleet_sick(time_point now, upstream_record& record) const
+    {
+        if (!is_over_threshold(now, record))
+        {
+            record.m_over_since.reset();
+        }
+        else if (!record.m_over_since)
+        {
+            record.m_over_since = now;
+        }
+        bool const is_confirmed =
+            record.m_over_since &&
+            now - *record.m_over_since >= confirmation_time;
+        bool const is_wrong = record.m_pooled.m_wrong.value() >=
+                                  record.m_service->m_fleet_threshold &&
+                              record.m_pooled.m_wrong.is_agreed(now);
+        return is_confirmed || is_wrong;
+    }
+
+    [[nodiscard]] static bool is_locally_sick(upstream_record const& record)
+    {
+        return record.m_local.value() >= record.m_service->m_local_threshold;
     }
 
     static std::string reason_of(upstream_record const& record)
@@ -787,33 +890,16 @@
         upstream_status m_status = upstream_status::ejected;
     };
 
-    std::vector<candidate>
-    candidates(time_point now, service_record const& service) const
+    /// Upstreams to take out, the worst first.
+    std::vector<candidate> candidates(time_point now) const
     {
         std::vector<candidate> result;
-        for (upstream_record* record : service.m_upstreams)
+        for (auto const& [id, record] : m_active)
         {
-            if (record->is_draining() || record->score() <= 0.0 ||
-                (record->is_out() &&
-                 record->m_status != upstream_status::avoided))
+            if (auto const status = wanted_status(now, *record))
             {
-                continue;
+                result.push_back({record, *status});
             }
-            bool const sick = !m_doubts_itself && is_fleet_sick(now, *record);
-            bool const avoided =
-                !record->is_out() && is_locally_sick(now, *record);
-            if (!sick && !avoided)
-            {
-                record->m_held_by_floor = false;
-                continue;
-            }
-            if (reason_of(*record) != "wrong" && has_common_cause(now, *record))
-            {
-                continue;
-            }
-            result.push_back(
-                {record,
-                 sick ? upstream_status::ejected : upstream_status::avoided});
         }
         std::ranges::stable_sort(
             result,
@@ -825,9 +911,32 @@
         return result;
     }
 
-    void decide(time_point now, service_record const& service)
+    /// Whether and how the evidence takes an upstream out.
+    [[nodiscard]] std::optional<upstream_status>
+    wanted_status(time_point now, upstream_record& record) const
+    {
+        bool const is_avoided = record.m_status == upstream_status::avoided;
+        if (record.is_draining() || (record.is_out() && !is_avoided))
+        {
+            return std::nullopt;
+        }
+        bool const ejects = is_fleet_sick(now, record) && !m_doubts_itself;
+        bool const avoids = !is_avoided && is_locally_sick(record);
+        if (!ejects && !avoids)
+        {
+            record.m_held_by_floor = false;
+            return std::nullopt;
+        }
+        if (reason_of(record) != "wrong" && has_common_cause(now, record))
+        {
+            return std::nullopt;
+        }
+        return ejects ? upstream_status::ejected : upstream_status::avoided;
+    }
+
+    void decide(time_point now)
     {
-        for (candidate const& item : candidates(now, service))
+        for (candidate const& item : candidates(now))
         {
             if (item.m_record->is_out())
             {
@@ -870,9 +979,9 @@
     void return_to_service(time_point now, upstream_record& record)
     {
         double const prior =
-            return_score_share * fleet_threshold(now, *record.m_service);
+            return_score_share * record.m_service->m_fleet_threshold;
         double const local_prior =
-            return_score_share * local_threshold(now, *record.m_service);
+            return_score_share * record.m_service->m_local_threshold;
         record.m_pooled.m_fault.reset(prior);
         record.m_pooled.m_wrong.reset(prior);
         record.m_local.m_fault.reset(local_prior);
@@ -904,7 +1013,11 @@
     std::map<service_name, service_record> m_services;
     std::map<attempt_key, attempt_record> m_attempts;
     std::set<std::pair<time_point, attempt_key>> m_slow_due;
+    std::optional<time_point> m_last_tick;
     std::set<upstream_id> m_news;
+    /// Upstreams with a score or out of usual service. Ticks look at no
+    /// others: a fleet has tens of thousands of upstreams.
+    std::map<upstream_id, upstream_record*> m_active;
     std::vector<health_change> m_changes;
     bool m_doubts_itself = false;
 };
@@ -958,16 +1071,20 @@
             self.start_warming(now, record, "cold");
         }
     }
-    std::erase_if(
-        self.m_upstreams,
-        [&](auto const& item)
-        {
-            return !listed.contains(item.first);
-        });
+    auto const is_gone = [&](auto const& item)
+    {
+        return !listed.contains(item.first);
+    };
+    std::erase_if(self.m_active, is_gone);
+    std::erase_if(self.m_upstreams, is_gone);
     for (auto& [id, record] : self.m_upstreams)
     {
         record.m_service->m_upstreams.push_back(&record);
     }
+    for (auto& [name, service] : self.m_services)
+    {
+        self.update_thresholds(now, service);
+    }
     self.restore_floors();
 }
 
@@ -988,9 +1105,9 @@
     attempt.m_service = record->m_upstream.m_service;
     attempt.m_work_class = work_class;
     attempt.m_started = now;
-    attempt.m_slow_at =
-        now +
+    attempt.m_slow_limit =
         self.evidence_limit(attempt.m_service, work_class, latency_target);
+    attempt.m_slow_at = now + attempt.m_slow_limit;
     attempt_key const key{ticket, target};
     if (self.m_attempts.emplace(key, attempt).second)
     {
@@ -1005,6 +1122,7 @@
     attempt_outcome outcome)
 {
     auto& self = *m_implementation;
+    self.excuse_if_paused(now);
     self.count_slow(now);
     auto const found = self.m_attempts.find(attempt_key{ticket, target});
     if (found == self.m_attempts.end())
@@ -1020,7 +1138,7 @@
         return;
     }
     bool const is_wrong = outcome == attempt_outcome::wrong;
-    if (attempt.m_counted && !is_wrong)
+    if (!is_wrong && (attempt.m_slow_counts > 0 || attempt.m_is_excused))
     {
         return;
     }
@@ -1088,29 +1206,32 @@
 std::vector<health_change> health_monitor::tick(time_point now)
 {
     auto& self = *m_implementation;
+    self.excuse_if_paused(now);
+    self.m_last_tick = now;
     self.count_slow(now);
     self.update_doubt(now);
-    for (auto& [id, record] : self.m_upstreams)
+    for (auto& [name, service] : self.m_services)
     {
-        self.advance_status(now, record);
+        self.update_thresholds(now, service);
     }
-    for (auto const& [name, service] : self.m_services)
+    for (auto const& [id, record] : self.m_active)
     {
-        self.decide(now, service);
-        self.restore_floor(service);
+        self.advance_status(now, *record);
     }
+    self.decide(now);
+    self.deactivate_idle(now);
     return std::exchange(self.m_changes, {});
 }
 
 std::vector<upstream_id> health_monitor::take_probes(time_point now)
 {
     std::vector<upstream_id> result;
-    for (auto& [id, record] : m_implementation->m_upstreams)
+    for (auto const& [id, record] : m_implementation->m_active)
     {
-        if (record.m_status == upstream_status::probing &&
-            !record.is_draining() && now >= record.m_next_probe)
+        if (record->m_status == upstream_status::probing &&
+            !record->is_draining() && now >= record->m_next_probe)
         {
-            record.m_next_probe = now + return_probe_interval;
+            record->m_next_probe = now + return_probe_interval;
             result.push_back(id);
         }
     }
