--- a/src/claim_bench.cpp
+++ b/src/claim_bench.cpp
@@ -102,7 +102,9 @@
 }
 
 load_figures make_figures(
-    std::size_t appends, std::size_t refused, std::vector<duration> latencies)
+    std::size_t appends,
+    std::size_t refused,
+    std::vector<duration> const& latencies)
 {
     double const seconds =
         std::chrono::duration<double>{simulated_time}.count();
@@ -161,7 +163,7 @@
                 step(entry);
             }
         }
-        return make_figures(m_appends, m_refused, std::move(m_latencies));
+        return make_figures(m_appends, m_refused, m_latencies);
     }
 
 private:
@@ -318,7 +320,7 @@
         }
         refused += !is_outcome && !is_taken ? 1 : 0;
     }
-    return make_figures(appends, refused, std::move(latencies));
+    return make_figures(appends, refused, latencies);
 }
 
 // Memory and time of the table.
@@ -475,14 +477,6 @@
         add(load + "latency p50", "ms", single.m_p50_ms, batched.m_p50_ms);
         add(load + "latency p99", "ms", single.m_p99_ms, batched.m_p99_ms);
     }
-    for (auto const& [name, with_outcomes] : memory_cases())
-    {
-        auto const records = make_records(seed, with_outcomes);
-        add("allocated for a " + name,
-            "bytes",
-            plain_bytes(seed, with_outcomes, allocated_bytes),
-            table_bytes(records, allocated_bytes));
-    }
     return results;
 }
 
@@ -494,6 +488,14 @@
     for (auto const& [name, with_outcomes] : memory_cases())
     {
         auto const records = make_records(seed, with_outcomes);
+        results.push_back(
+            {"allocated for a " + name,
+             "bytes",
+             plain_bytes(seed, with_outcomes, allocated_bytes),
+             table_bytes(records, allocated_bytes),
+             {},
+             seed,
+             command});
         results.push_back(
             {"resident for a " + name,
              "bytes",
