--- a/src/briar_load_main.cpp
+++ b/src/briar_load_main.cpp
@@ -2,6 +2,7 @@
 /// checks each answer and prints what callers got.
 
 #include "load_client.hpp"
+#include "upstream_pool.hpp"
 
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
@@ -139,6 +140,13 @@
         targets,
         flags[direct ? "direct" : "targets"].as<std::string>(),
         boost::algorithm::is_any_of(","));
+    for (endpoint_address const& target : targets)
+    {
+        if (!to_endpoint(target))
+        {
+            throw std::invalid_argument("'" + target + "' is not IP:PORT");
+        }
+    }
     return targets;
 }
 
--- a/src/load_check.cpp
+++ b/src/load_check.cpp
@@ -1,6 +1,7 @@
 #include "load_check.hpp"
 
 #include "content_digest.hpp"
+#include "upstream_client.hpp"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/value.hpp>
@@ -77,6 +78,11 @@
     load_request const& request,
     load_response const& response)
 {
+    if (request.count(request_id_field) > 0 &&
+        request[request_id_field] != response[request_id_field])
+    {
+        return "answer with another request id";
+    }
     if (work.m_archive)
     {
         return find_archive_mismatch(account, request, response);
--- a/src/load_client.cpp
+++ b/src/load_client.cpp
@@ -62,14 +62,6 @@
     std::string m_detail;
 };
 
-net::ip::tcp::endpoint to_endpoint(endpoint_address const& address)
-{
-    auto const colon = address.rfind(':');
-    return {
-        net::ip::make_address(address.substr(0, colon)),
-        static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))};
-}
-
 /// A body of the stated size that differs from request to request.
 std::string make_body(job const& work)
 {
@@ -348,7 +340,12 @@
         if (!connected)
         {
             auto const endpoint = to_endpoint(work.m_target);
-            auto [error] = co_await socket.async_connect(endpoint, use_tuple);
+            if (!endpoint)
+            {
+                co_return broken(
+                    load_result::broken, net::error::invalid_argument);
+            }
+            auto [error] = co_await socket.async_connect(*endpoint, use_tuple);
             if (error)
             {
                 co_return broken(load_result::broken, error);
--- a/src/load_report.cpp
+++ b/src/load_report.cpp
@@ -16,6 +16,9 @@
 
 using milliseconds = std::chrono::duration<double, std::milli>;
 
+/// The P-square estimate of extreme quantiles is not usable with fewer.
+constexpr std::uint64_t min_quantile_samples = 20;
+
 /// The name of a result code, or the HTTP status.
 std::string code_text(unsigned code)
 {
@@ -36,6 +39,24 @@
     return sum;
 }
 
+std::string
+quantile_text(std::uint64_t samples, std::chrono::duration<double> value)
+{
+    return samples < min_quantile_samples
+               ? "-"
+               : fmt::format("{:.1f}", milliseconds{value}.count());
+}
+
+boost::json::value
+quantile_json(std::uint64_t samples, std::chrono::duration<double> value)
+{
+    if (samples < min_quantile_samples)
+    {
+        return nullptr;
+    }
+    return milliseconds{value}.count();
+}
+
 void append_row(
     std::string& text,
     std::string const& work,
@@ -46,7 +67,7 @@
     fmt::format_to(
         std::back_inserter(text),
         "{:<18} {:<14} {:>8} {:>8} {:>8} {:>8} {:>6} {:>6} {:>6} {:>7} {:>7} "
-        "{:>8.1f} {:>8.1f} {:>8.1f} {:>7.2f}%\n",
+        "{:>8} {:>8} {:>8.1f} {:>7.2f}%\n",
         work,
         account,
         counts.m_sent,
@@ -58,8 +79,8 @@
         counts.m_broken,
         counts.m_timeout,
         counts.m_retries,
-        milliseconds{latency.m_p50}.count(),
-        milliseconds{latency.m_p99}.count(),
+        quantile_text(latency.m_count, latency.m_p50),
+        quantile_text(latency.m_count, latency.m_p99),
         milliseconds{latency.m_max}.count(),
         100.0 * counts.success_rate());
 }
@@ -105,9 +126,9 @@
         {"timeout", counts.m_timeout},
         {"retries", counts.m_retries},
         {"success_rate", counts.success_rate()},
-        {"p50_ms", milliseconds{latency.m_p50}.count()},
-        {"p90_ms", milliseconds{latency.m_p90}.count()},
-        {"p99_ms", milliseconds{latency.m_p99}.count()},
+        {"p50_ms", quantile_json(latency.m_count, latency.m_p50)},
+        {"p90_ms", quantile_json(latency.m_count, latency.m_p90)},
+        {"p99_ms", quantile_json(latency.m_count, latency.m_p99)},
         {"max_ms", milliseconds{latency.m_max}.count()}};
 }
 
--- a/src/upstream_client.cpp
+++ b/src/upstream_client.cpp
@@ -278,13 +278,13 @@
 
     net::awaitable<bool> connect()
     {
-        error_code error;
-        net::ip::tcp::endpoint const endpoint = parse_endpoint(error);
+        error_code error = net::error::invalid_argument;
+        auto const endpoint = to_endpoint(m_target.m_address);
         m_control->m_connection = m_state->m_pool.make(m_target.m_address);
-        if (!error)
+        if (endpoint)
         {
             auto [result] = co_await connection().m_socket.async_connect(
-                endpoint, use_tuple);
+                *endpoint, use_tuple);
             error = result;
         }
         if (error || m_control->m_reason != end_reason::none)
@@ -296,20 +296,6 @@
         co_return true;
     }
 
-    net::ip::tcp::endpoint parse_endpoint(error_code& error) const
-    {
-        auto const& text = m_target.m_address;
-        auto const colon = text.rfind(':');
-        std::uint16_t port = 0;
-        if (colon == std::string::npos ||
-            !parse_number(std::string_view{text}.substr(colon + 1), port))
-        {
-            error = net::error::invalid_argument;
-            return {};
-        }
-        return {net::ip::make_address(text.substr(0, colon), error), port};
-    }
-
     /// Writes the request. A reused connection that fails before it took a
     /// byte is replaced once.
     net::awaitable<bool> send()
