--- a/src/control_stream.cpp
+++ b/src/control_stream.cpp
@@ -33,10 +33,8 @@
     settings const& options,
     fleet_state& fleet,
     platform_access& platform,
-    fence_check may_fence,
     std::uint64_t seed)
-    : m_options(options), m_fleet(fleet), m_platform(platform),
-      m_may_fence(std::move(may_fence)), m_random(seed)
+    : m_options(options), m_fleet(fleet), m_platform(platform), m_random(seed)
 {
 }
 
@@ -70,7 +68,7 @@
         {
             note_log(false, error->m_message);
             time_point const retry_at = runtime_clock::now() + retry_interval;
-            co_await m_fleet.changes().wait_until(retry_at);
+            co_await sleep_until(retry_at);
             continue;
         }
         note_log(true, {});
@@ -78,6 +76,16 @@
     }
 }
 
+/// Other waits may end early at each change; this one must not, so that a log
+/// that refuses at once is not asked all the time.
+boost::asio::awaitable<void> control_stream::sleep_until(time_point wake_at)
+{
+    while (!m_stopped && runtime_clock::now() < wake_at)
+    {
+        co_await m_fleet.changes().wait_until(wake_at);
+    }
+}
+
 void control_stream::note_log(bool is_up, std::string const& reason)
 {
     if (is_up == m_log_is_up)
@@ -151,31 +159,26 @@
     co_return true;
 }
 
-boost::asio::awaitable<void> control_stream::append(control_record record)
+/// True if the log acknowledged the record.
+boost::asio::awaitable<bool> control_stream::append(control_record record)
 {
     std::string text = to_record(record);
     auto const result =
         co_await m_platform.append(control_stream_name, std::move(text));
     m_last_append = runtime_clock::now();
-    auto const* const error = std::get_if<platform_error>(&result);
-    if (error != nullptr && error->m_code != result_code::log_append_unknown)
-    {
-        // Without effect; the next attempt waits for the next read only.
-        spdlog::debug("append to the control stream: {}", error->m_message);
-    }
+    co_return std::holds_alternative<log_offset>(result);
 }
 
 std::optional<control_record> control_stream::next_record(time_point now)
 {
     if (!m_fleet.is_member())
     {
-        auto own = m_fleet.is_replaced() ? std::nullopt
-                                         : m_fleet.members().own_record(now);
+        auto own = m_fleet.members().own_record(now);
         m_join_was_appended = m_join_was_appended || own.has_value();
         return own;
     }
     auto const fence = m_fleet.members().next_fence(now);
-    if (fence && m_may_fence(fence->m_vm))
+    if (fence)
     {
         spdlog::info(
             "fencing member {} incarnation {:016x}",
@@ -239,7 +242,11 @@
     {
         if (may_append() && (!appended || m_fleet.is_member()))
         {
-            co_await append(record);
+            bool const acknowledged = co_await append(record);
+            if (acknowledged)
+            {
+                co_return;
+            }
             appended = true;
         }
         else if (may_append())
--- a/src/control_stream.hpp
+++ b/src/control_stream.hpp
@@ -12,7 +12,6 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
-#include <functional>
 #include <optional>
 #include <random>
 #include <string>
@@ -25,14 +24,10 @@
 class control_stream
 {
 public:
-    /// Says whether a fence of this VM may be appended.
-    using fence_check = std::function<bool(vm_id const&)>;
-
     control_stream(
         settings const& options,
         fleet_state& fleet,
         platform_access& platform,
-        fence_check may_fence,
         std::uint64_t seed);
 
     /// Reads the stream until `stop`.
@@ -58,7 +53,8 @@
     void note_log(bool is_up, std::string const& reason);
     void take(time_point start, read_result const& result);
     [[nodiscard]] bool may_append() const;
-    boost::asio::awaitable<void> append(control_record record);
+    boost::asio::awaitable<bool> append(control_record record);
+    boost::asio::awaitable<void> sleep_until(time_point wake_at);
     boost::asio::awaitable<bool> append_own(time_point now);
     std::optional<control_record> next_record(time_point now);
     [[nodiscard]] bool is_snapshot_due() const;
@@ -68,7 +64,6 @@
     settings m_options;
     fleet_state& m_fleet;
     platform_access& m_platform;
-    fence_check m_may_fence;
     std::mt19937_64 m_random;
     bool m_log_is_up = false;
     bool m_has_read = false;
--- a/src/loan_planner.cpp
+++ b/src/loan_planner.cpp
@@ -1,6 +1,7 @@
 #include "loan_planner.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace briarhub
@@ -14,9 +15,10 @@
 /// Surplus of a wanted amount that covers rounding.
 constexpr double token_slack = 1e-4;
 
-/// Limits of the time for which a lender that had too little is not asked.
-constexpr std::chrono::milliseconds min_refusal_pause{30};
-constexpr std::chrono::milliseconds max_refusal_pause{300};
+/// A lender that had too little is not asked for this time, doubled with each
+/// further refusal up to the limit.
+constexpr std::chrono::milliseconds min_refusal_pause{20};
+constexpr unsigned max_pause_doublings = 5;
 
 /// Pause between two looks at work that a limit postponed.
 constexpr std::chrono::milliseconds plan_interval{20};
@@ -36,6 +38,10 @@
     : m_rate{account.m_rate}, m_burst{account.m_burst},
       m_demand{account.m_rate}, m_policy{policy}
 {
+    m_messages.set_limits(
+        time_point{},
+        policy.m_account_messages_per_second,
+        policy.m_account_message_burst);
 }
 
 void loan_planner::set_lenders(
@@ -69,18 +75,18 @@
 
 double loan_planner::stock(std::chrono::milliseconds span, time_point now) const
 {
-    return double(m_waiting.size()) + m_demand.at(now) * to_seconds(span);
+    return double(m_waiting.size()) + m_demand.lower_at(now) * to_seconds(span);
 }
 
 share_amount
 loan_planner::own_need(account_share const& share, time_point now) const
 {
-    if (is_idle(share, now))
+    if (m_rate <= 0.0 || is_idle(share, now))
     {
         return {};
     }
     double const fraction =
-        std::min(1.0, m_policy.m_held_demand * m_demand.at(now) / m_rate);
+        std::min(1.0, m_policy.m_held_demand * m_demand.lower_at(now) / m_rate);
     return {fraction, stock(m_policy.m_low_stock, now)};
 }
 
@@ -93,7 +99,8 @@
         return_all(share, context);
         return;
     }
-    renew_or_return(share, context);
+    repeat_requests(share, context);
+    renew(share, context);
     return_excess(share, context);
     borrow(share, context);
 }
@@ -135,14 +142,16 @@
     }
 }
 
-/// A return is sent even when the message limit is reached: it is the last
-/// message of its loan, and each loan passed the limit when it was requested.
+/// A return is sent even when the message limit is reached, since each loan
+/// passed the limit when it was requested; it delays the next request instead.
 void loan_planner::give_back(
     account_share& share, loan_id id, double kept_tokens, loan_context& context)
 {
     vm_id const lender = share.borrowed_loans().at(id).m_lender;
     auto const [fraction, tokens] =
         share.give_back(context.m_now, id, kept_tokens);
+    m_messages.remove(1.0);
+    context.m_messages.remove(1.0);
     // A reply that is still under way must not revive the loan.
     std::erase_if(
         m_pending,
@@ -154,6 +163,72 @@
         {lender, loan_return{share.config().m_name, id, fraction, tokens}});
 }
 
+/// A rare caller returns its loan at once; under steady demand the loan would
+/// soon be requested again.
+bool loan_planner::is_held(borrowed_loan const& loan, time_point now) const
+{
+    return m_demand.lower_at(now) > 0.0 &&
+           now < loan.m_changed_at + m_policy.m_hold;
+}
+
+void loan_planner::recall(
+    account_share& share, loan_id id, loan_context& context)
+{
+    auto const found = share.borrowed_loans().find(id);
+    if (found == share.borrowed_loans().end() || !m_waiting.empty())
+    {
+        return;
+    }
+    share_amount const need = own_need(share, context.m_now);
+    double const rest = share.fraction() - found->second.m_fraction;
+    // Between rare requests the tokens serve a request that waits elsewhere.
+    bool const is_frequent =
+        m_demand.at(context.m_now) * to_seconds(admission_wait) > 0.5;
+    bool const is_needed =
+        is_frequent && rest < need.m_fraction * m_policy.m_recall_above &&
+        share.tokens() < stock(m_policy.m_recall_stock, context.m_now) + 1.0;
+    if (!is_needed)
+    {
+        give_back(
+            share, id, stock(m_policy.m_low_stock, context.m_now), context);
+    }
+}
+
+bool loan_planner::send_recalls(
+    account_share& share,
+    vm_id const& requester,
+    double lacking_fraction,
+    loan_context& context)
+{
+    std::vector<std::pair<double, loan_id>> loans;
+    for (auto const& [id, loan] : share.lent_loans())
+    {
+        bool const is_asked =
+            loan.m_recalled_at + m_policy.m_recall_pause > context.m_now;
+        if (loan.m_borrower != requester && !is_asked)
+        {
+            loans.emplace_back(loan.m_fraction, id);
+        }
+    }
+    std::sort(loans.begin(), loans.end(), std::greater<>{});
+    bool is_sent = false;
+    for (auto const& [fraction, id] : loans)
+    {
+        if (lacking_fraction <= 0.0 || !may_send(context))
+        {
+            break;
+        }
+        is_sent = true;
+        lent_loan& loan = share.lent_loans().at(id);
+        loan.m_recalled_at = context.m_now;
+        lacking_fraction -= fraction;
+        context.m_outgoing.push_back(
+            {loan.m_borrower,
+             loan_return{share.config().m_name, id, 0.0, 0.0}});
+    }
+    return is_sent;
+}
+
 void loan_planner::return_excess(account_share& share, loan_context& context)
 {
     share_amount const need = own_need(share, context.m_now);
@@ -164,9 +239,8 @@
     for (auto const& [id, loan] : share.borrowed_loans())
     {
         double const rest = fraction - loan.m_fraction;
-        bool const has_tokens =
-            share.tokens() - kept_tokens >= loan.m_fraction * m_burst;
-        if (rest >= kept_fraction && has_tokens)
+        if (rest >= kept_fraction && m_waiting.empty() &&
+            !is_held(loan, context.m_now))
         {
             excess.push_back(id);
             fraction = rest;
@@ -178,7 +252,7 @@
     }
 }
 
-void loan_planner::renew_or_return(account_share& share, loan_context& context)
+void loan_planner::renew(account_share& share, loan_context& context)
 {
     time_point const now = context.m_now;
     std::vector<std::pair<loan_id, vm_id>> due;
@@ -195,6 +269,33 @@
     }
 }
 
+/// Without the repetition the lender would keep a loan that never arrived out
+/// of use until its end.
+void loan_planner::repeat_requests(
+    account_share const& share, loan_context& context)
+{
+    for (auto& [id, request] : m_pending)
+    {
+        bool const is_due =
+            request.m_last_sent_at + reply_timeout <= context.m_now;
+        if (!is_due || request.m_sends == max_request_sends ||
+            !may_send(context))
+        {
+            continue;
+        }
+        request.m_last_sent_at = context.m_now;
+        ++request.m_sends;
+        context.m_outgoing.push_back(
+            {request.m_lender,
+             loan_request{
+                 share.config().m_name,
+                 id,
+                 request.m_renewed_loan,
+                 request.m_wanted.m_fraction,
+                 request.m_wanted.m_tokens}});
+    }
+}
+
 bool loan_planner::is_asked(vm_id const& lender, time_point now) const
 {
     return std::any_of(
@@ -203,7 +304,7 @@
         [&](auto const& entry)
         {
             return entry.second.m_lender == lender &&
-                   entry.second.m_sent_at + reply_timeout > now;
+                   entry.second.m_last_sent_at + reply_timeout > now;
         });
 }
 
@@ -212,7 +313,7 @@
     share_amount sum;
     for (auto const& [id, request] : m_pending)
     {
-        if (request.m_sent_at + reply_timeout > now)
+        if (request.m_last_sent_at + reply_timeout > now)
         {
             sum.m_fraction += request.m_wanted.m_fraction;
             sum.m_tokens += request.m_wanted.m_tokens;
@@ -226,9 +327,9 @@
     std::vector<vm_id> usable;
     for (vm_id const& lender : m_lenders)
     {
-        auto const refused = m_refused_until.find(lender);
-        bool const pauses =
-            refused != m_refused_until.end() && refused->second > context.m_now;
+        auto const refused = m_refusals.find(lender);
+        bool const pauses = refused != m_refusals.end() &&
+                            refused->second.m_pause_until > context.m_now;
         if (!pauses && !is_asked(lender, context.m_now))
         {
             usable.push_back(lender);
@@ -257,6 +358,11 @@
         double const batch = std::max(1.0, stock(m_policy.m_batch, now));
         missing = std::max(0.0, batch - tokens + token_slack);
     }
+    // This VM's own loans to others are the nearest reserve.
+    if (!m_waiting.empty() && missing > 0.0)
+    {
+        send_recalls(share, {}, missing / m_burst, context);
+    }
     double const home_fraction =
         1.0 / double(std::max<std::size_t>(1, m_home_count));
     std::size_t asked = 0;
@@ -282,10 +388,7 @@
 
 bool loan_planner::may_send(loan_context& context)
 {
-    m_messages.set_limits(
-        context.m_now,
-        m_policy.m_account_messages_per_second,
-        m_policy.m_account_message_burst);
+    m_messages.advance(context.m_now);
     if (m_messages.level() < 1.0 || !context.m_messages.take())
     {
         return false;
@@ -310,7 +413,7 @@
         renewed = loan.m_lender == lender ? id : renewed;
     }
     std::uint64_t const id = context.m_next_id++;
-    m_pending[id] = {lender, renewed, context.m_now, wanted};
+    m_pending[id] = {lender, renewed, context.m_now, context.m_now, 1, wanted};
     context.m_outgoing.push_back(
         {lender,
          loan_request{
@@ -322,6 +425,21 @@
     return true;
 }
 
+/// Pauses double with each refusal, so that lenders without stock cost few
+/// messages.
+void loan_planner::note_grant(vm_id const& lender, bool is_full, time_point now)
+{
+    if (is_full)
+    {
+        m_refusals.erase(lender);
+        return;
+    }
+    lender_refusals& refusals = m_refusals[lender];
+    unsigned const doublings = std::min(refusals.m_count, max_pause_doublings);
+    refusals.m_pause_until = now + min_refusal_pause * (1U << doublings);
+    ++refusals.m_count;
+}
+
 void loan_planner::receive(
     account_share& share,
     time_point now,
@@ -338,14 +456,7 @@
     bool const is_short =
         reply.m_loan_id == 0 ||
         reply.m_tokens + 2 * token_slack < request.m_wanted.m_tokens;
-    if (is_short)
-    {
-        double const refill = double(m_home_count) / std::max(m_rate, 1e-3);
-        duration const pause{std::int64_t(refill * 0.5e9)};
-        m_refused_until[from] =
-            now +
-            std::clamp<duration>(pause, min_refusal_pause, max_refusal_pause);
-    }
+    note_grant(from, !is_short, now);
     if (reply.m_loan_id == 0)
     {
         return;
@@ -382,7 +493,7 @@
     }
     for (auto const& [id, request] : m_pending)
     {
-        next = std::min(next, request.m_sent_at + reply_timeout);
+        next = std::min(next, request.m_last_sent_at + reply_timeout);
     }
     return std::max(next, now + plan_interval);
 }
--- a/src/loan_planner.hpp
+++ b/src/loan_planner.hpp
@@ -15,9 +15,12 @@
 namespace briarhub
 {
 
-/// A request without reply for this long counts as lost; a reply that comes
-/// later is still taken.
-inline constexpr std::chrono::milliseconds reply_timeout{100};
+/// A request without reply for this long is sent again under the same id, so
+/// that a lender that granted it repeats its reply.
+inline constexpr std::chrono::milliseconds reply_timeout{40};
+
+/// Times a request is sent. A late reply is still taken.
+inline constexpr unsigned max_request_sends = 3;
 
 /// Renewal starts this long before the end of a loan, which leaves time for
 /// several attempts.
@@ -27,10 +30,19 @@
 {
     vm_id m_lender;
     loan_id m_renewed_loan = 0;
-    time_point m_sent_at{};
+    time_point m_sent_at{};      ///< first time; the loan counts from it
+    time_point m_last_sent_at{}; ///< of the repetitions
+    unsigned m_sends = 1;
     share_amount m_wanted;
 };
 
+/// Refusals by one lender since its last full grant.
+struct lender_refusals
+{
+    unsigned m_count = 0;
+    time_point m_pause_until{};
+};
+
 /// What the planner needs besides the account itself.
 struct loan_context
 {
@@ -63,6 +75,17 @@
 
     void plan(account_share& share, loan_context& context);
 
+    /// A lender wants a loan back because others need it.
+    void recall(account_share& share, loan_id id, loan_context& context);
+
+    /// Asks the borrowers other than `requester` for what the request lacked.
+    /// True if a recall was sent.
+    bool send_recalls(
+        account_share& share,
+        vm_id const& requester,
+        double lacking_fraction,
+        loan_context& context);
+
     void receive(
         account_share& share,
         time_point now,
@@ -77,7 +100,8 @@
     void forget_old(account_share const& share, time_point now);
     void return_all(account_share& share, loan_context& context);
     void return_excess(account_share& share, loan_context& context);
-    void renew_or_return(account_share& share, loan_context& context);
+    void renew(account_share& share, loan_context& context);
+    void repeat_requests(account_share const& share, loan_context& context);
     void borrow(account_share& share, loan_context& context);
     void give_back(
         account_share& share,
@@ -89,6 +113,8 @@
         vm_id const& lender,
         share_amount const& wanted,
         loan_context& context);
+    [[nodiscard]] bool is_held(borrowed_loan const& loan, time_point now) const;
+    void note_grant(vm_id const& lender, bool is_full, time_point now);
     bool may_send(loan_context& context);
     [[nodiscard]] std::vector<vm_id>
     usable_lenders(loan_context& context) const;
@@ -107,7 +133,7 @@
     token_bucket m_messages;
     std::size_t m_home_count = 0;
     std::vector<vm_id> m_lenders;
-    std::map<vm_id, time_point> m_refused_until;
+    std::map<vm_id, lender_refusals> m_refusals;
     std::map<std::uint64_t, pending_request> m_pending;
     std::vector<time_point> m_waiting;
 };
--- a/src/peer_exchange.cpp
+++ b/src/peer_exchange.cpp
@@ -31,9 +31,6 @@
 /// Records in one answer; the rest is asked for again.
 constexpr std::size_t max_records_in_reply = 1000;
 
-/// A report of a silent VM counts for this long.
-constexpr std::chrono::seconds silent_report_age_limit{15};
-
 } // namespace
 
 peer_exchange::peer_exchange(
@@ -60,7 +57,7 @@
                         {
                             handle(path, text, std::move(respond));
                         }),
-      m_wakeup(io)
+      m_wakeup(io), m_news(fleet.self())
 {
 }
 
@@ -80,9 +77,15 @@
 peer_sender peer_exchange::own_sender() const
 {
     member const& self = m_fleet.self();
-    control_version const version =
-        m_fleet.log().has_state() ? m_fleet.version() : 0;
-    return {self.m_vm, self.m_incarnation, version};
+    if (!m_fleet.log().has_state())
+    {
+        return {self.m_vm, self.m_incarnation, 0, 0};
+    }
+    return {
+        self.m_vm,
+        self.m_incarnation,
+        m_fleet.version(),
+        std::min(m_fleet.version(), m_fleet.stable_version())};
 }
 
 boost::asio::awaitable<void> peer_exchange::run_probes()
@@ -94,6 +97,7 @@
         {
             start_probe(peer);
         }
+        m_silent = m_fleet.members().silent_vms(now);
         m_fleet.tick(now);
         m_client.close_idle(now, connection_idle_limit);
         expire(now);
@@ -120,12 +124,6 @@
         {
             return now - entry.second.m_since > loan_timeout;
         });
-    std::erase_if(
-        m_reported_silent,
-        [&](auto const& entry)
-        {
-            return now - entry.second > silent_report_age_limit;
-        });
 }
 
 /// Members that have not acknowledged the version are probed until a majority
@@ -139,10 +137,13 @@
         std::size_t started = 0;
         for (member const& entry : m_fleet.state().m_members)
         {
-            auto const peer = m_fleet.members().find(entry.m_vm);
-            if (peer && entry.m_vm != m_fleet.self().m_vm &&
-                m_acknowledged[entry.m_vm] < version &&
-                started < max_probes_at_once)
+            if (entry.m_vm == m_fleet.self().m_vm ||
+                m_acknowledged[entry.m_vm] >= version ||
+                started >= max_probes_at_once)
+            {
+                continue;
+            }
+            if (auto const peer = m_fleet.members().find(entry.m_vm))
             {
                 start_probe(*peer);
                 ++started;
@@ -164,8 +165,8 @@
 boost::asio::awaitable<void> peer_exchange::probe(entry_vm peer)
 {
     time_point const start = runtime_clock::now();
-    auto const news = m_news.news_for(start, peer.m_id);
-    probe_message const message{own_sender(), news.m_news, own_silent(start)};
+    probe_message const message{
+        own_sender(), m_news.take_for(start, peer.m_id), m_silent};
     std::string text = serialize(message);
     auto const result = co_await m_client.request(
         peer.m_peer_address,
@@ -182,10 +183,10 @@
     // Another VM may have got the address of one that is gone.
     if (!reply || reply->m_sender.m_vm != peer.m_id)
     {
+        m_news.note_lost(peer.m_id);
         m_fleet.peer_failed(runtime_clock::now(), peer.m_id);
         co_return;
     }
-    m_news.delivered(peer.m_id, news.m_through);
     take_reply(peer, start, std::move(*reply));
 }
 
@@ -196,11 +197,12 @@
     m_round_trip.record(now - start);
     peer_sender const& sender = reply.m_sender;
     m_acknowledged[sender.m_vm] = sender.m_version;
-    member const answering{
-        sender.m_vm, sender.m_incarnation, peer.m_failure_domain};
-    m_fleet.peer_answered(now, start, answering, sender.m_version);
-    receive_news(sender, reply.m_news);
-    note_silent(reply);
+    auto const answering = m_fleet.identify(sender.m_vm, sender.m_incarnation);
+    if (answering)
+    {
+        m_fleet.peer_answered(now, start, *answering, sender.m_version);
+    }
+    receive_news(reply);
     if (sender.m_version > own_sender().m_version)
     {
         start_fetch(peer);
@@ -375,11 +377,6 @@
     m_news.add_suspects(runtime_clock::now(), items);
 }
 
-bool peer_exchange::is_reported_silent(vm_id const& vm) const
-{
-    return m_reported_silent.contains(vm);
-}
-
 void peer_exchange::handle(
     std::string_view path, std::string_view text, peer_responder respond)
 {
@@ -417,8 +414,7 @@
     }
     time_point const now = runtime_clock::now();
     peer_sender const& sender = probe->m_sender;
-    receive_news(sender, probe->m_news);
-    note_silent(*probe);
+    receive_news(*probe);
     if (sender.m_version > own_sender().m_version)
     {
         m_acknowledged[sender.m_vm] = sender.m_version;
@@ -427,10 +423,8 @@
             start_fetch(*peer);
         }
     }
-    auto news = m_news.news_for(now, sender.m_vm);
-    m_news.delivered(sender.m_vm, news.m_through);
     return serialize_reply(
-        {own_sender(), std::move(news.m_news), own_silent(now)});
+        {own_sender(), m_news.take_for(now, sender.m_vm), m_silent});
 }
 
 std::optional<std::string> peer_exchange::answer_records(std::string_view text)
@@ -505,44 +499,27 @@
     return std::string{};
 }
 
-void peer_exchange::receive_news(
-    peer_sender const& sender, peer_news const& news)
+void peer_exchange::receive_news(probe_message const& message)
 {
-    auto reporter = m_fleet.find_member(sender.m_vm);
-    if (reporter && !news.m_evidence.empty())
+    time_point const now = runtime_clock::now();
+    peer_sender const& sender = message.m_sender;
+    auto reporter = m_fleet.identify(sender.m_vm, sender.m_incarnation);
+    if (!reporter)
     {
-        reporter->m_incarnation = sender.m_incarnation;
-        m_outbox.send(peer_evidence{std::move(*reporter), news.m_evidence});
+        return;
     }
-    auto added = m_news.add_suspects(runtime_clock::now(), news.m_suspects);
+    m_fleet.note_stable(now, sender.m_stable);
+    m_fleet.members().peer_reported_silent(now, *reporter, message.m_silent);
+    auto added = m_news.receive(now, message.m_news.m_suspects);
     if (!added.empty())
     {
         m_outbox.send(peer_suspects{std::move(added)});
     }
-}
-
-void peer_exchange::note_silent(probe_message const& message)
-{
-    time_point const now = runtime_clock::now();
-    for (vm_id const& vm : message.m_silent)
-    {
-        m_reported_silent[vm] = now;
-    }
-}
-
-/// Members without an answer to this VM.
-std::vector<vm_id> peer_exchange::own_silent(time_point now)
-{
-    std::vector<vm_id> silent;
-    for (auto const& peer : m_fleet.members().status(now))
+    if (!message.m_news.m_evidence.empty())
     {
-        if (!peer.m_answers && peer.m_member.m_vm != m_fleet.self().m_vm &&
-            silent.size() < max_message_items)
-        {
-            silent.push_back(peer.m_member.m_vm);
-        }
+        m_outbox.send(
+            peer_evidence{std::move(*reporter), message.m_news.m_evidence});
     }
-    return silent;
 }
 
 } // namespace briarhub
