--- a/tests/upstream_client_test.cpp
+++ b/tests/upstream_client_test.cpp
@@ -91,7 +91,7 @@
         net::co_spawn(
             m_io,
             std::move(attempt),
-            [&result](std::exception_ptr, upstream_attempt value)
+            [&result](std::exception_ptr const&, upstream_attempt value)
             {
                 result = std::move(value);
             });
@@ -126,7 +126,7 @@
         net::co_spawn(
             m_io,
             std::move(attempt),
-            [&](std::exception_ptr, upstream_attempt value)
+            [&](std::exception_ptr const&, upstream_attempt value)
             {
                 result = std::move(value);
             });
@@ -188,7 +188,7 @@
         attempt_outcome m_outcome;
         unsigned m_status;
     };
-    for (auto const& [fault, outcome, status] : {
+    for (auto const& expected : {
              expectation{fault_kind::error, attempt_outcome::error, 500},
              expectation{fault_kind::wrong, attempt_outcome::wrong, 0},
              expectation{fault_kind::digest, attempt_outcome::wrong, 0},
@@ -196,10 +196,12 @@
              expectation{fault_kind::reset_after, attempt_outcome::crashed, 0},
          })
     {
-        CAPTURE(static_cast<int>(fault));
-        set_fault(fault);
+        int const fault = static_cast<int>(expected.m_fault);
+        unsigned const status = expected.m_status;
+        CAPTURE(fault);
+        set_fault(expected.m_fault);
         auto const attempt = run("/balances/1", "r");
-        CHECK(attempt.m_outcome == outcome);
+        CHECK(attempt.m_outcome == expected.m_outcome);
         CHECK(attempt.m_sent);
         CHECK_FALSE(attempt.m_not_run);
         // An answer that failed a check must not reach a caller.
