--- a/src/archive_stream.cpp
+++ b/src/archive_stream.cpp
@@ -7,6 +7,12 @@
 #include <string>
 #include <utility>
 
+// GCC 12 takes Asio's paired operator new and delete of coroutine frames for
+// mismatched ones once one of the two is inlined.
+#if defined(__GNUC__) && !defined(__clang__)
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+#endif
+
 namespace briarhub
 {
 namespace
--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -243,9 +243,9 @@
 {
     auto& state = m_implementation->m_server->state();
     std::visit(
-        [&state](auto&& specific)
+        [&state]<class Message>(Message&& specific)
         {
-            state.receive(std::move(specific));
+            state.receive(std::forward<Message>(specific));
         },
         std::move(message));
 }
