--- a/src/control.cpp
+++ b/src/control.cpp
@@ -41,7 +41,7 @@
 }
 
 /// A loop that ends by an exception would leave the thread half alive.
-void rethrow(std::exception_ptr error)
+void rethrow(std::exception_ptr const& error)
 {
     if (error)
     {
@@ -202,11 +202,11 @@
 void control::receive(control_message&& message)
 {
     std::visit(
-        [this](auto&& content)
+        [this](auto& content)
         {
             m_implementation->receive(std::move(content));
         },
-        std::move(message));
+        message);
 }
 
 void control::receive(admin_query&& query)
--- a/src/control_stream.cpp
+++ b/src/control_stream.cpp
@@ -122,12 +122,12 @@
     while (!m_appends_stopped)
     {
         time_point const now = runtime_clock::now();
-        bool const appended = co_await append_own(now);
-        if (m_appends_stopped)
+        auto record = may_append() ? next_record(now) : std::nullopt;
+        if (record)
         {
-            co_return;
+            co_await append(std::move(*record));
         }
-        if (!appended)
+        else
         {
             time_point const next = now + own_record_interval;
             co_await m_fleet.changes().wait_until(next);
@@ -144,21 +144,6 @@
            (!m_last_append || *confirmed >= *m_last_append);
 }
 
-boost::asio::awaitable<bool> control_stream::append_own(time_point now)
-{
-    if (!may_append())
-    {
-        co_return false;
-    }
-    auto record = next_record(now);
-    if (!record)
-    {
-        co_return false;
-    }
-    co_await append(std::move(*record));
-    co_return true;
-}
-
 /// True if the log acknowledged the record.
 boost::asio::awaitable<bool> control_stream::append(control_record record)
 {
--- a/src/control_stream.hpp
+++ b/src/control_stream.hpp
@@ -55,7 +55,6 @@
     [[nodiscard]] bool may_append() const;
     boost::asio::awaitable<bool> append(control_record record);
     boost::asio::awaitable<void> sleep_until(time_point wake_at);
-    boost::asio::awaitable<bool> append_own(time_point now);
     std::optional<control_record> next_record(time_point now);
     [[nodiscard]] bool is_snapshot_due() const;
     bool take_snapshot_turn(time_point now);
--- a/src/peer_exchange.cpp
+++ b/src/peer_exchange.cpp
@@ -187,11 +187,11 @@
         m_fleet.peer_failed(runtime_clock::now(), peer.m_id);
         co_return;
     }
-    take_reply(peer, start, std::move(*reply));
+    take_reply(peer, start, *reply);
 }
 
 void peer_exchange::take_reply(
-    entry_vm const& peer, time_point start, probe_message reply)
+    entry_vm const& peer, time_point start, probe_message const& reply)
 {
     time_point const now = runtime_clock::now();
     m_round_trip.record(now - start);
--- a/src/peer_exchange.hpp
+++ b/src/peer_exchange.hpp
@@ -62,8 +62,8 @@
     [[nodiscard]] peer_sender own_sender() const;
     void start_probe(entry_vm const& peer);
     boost::asio::awaitable<void> probe(entry_vm peer);
-    void
-    take_reply(entry_vm const& peer, time_point start, probe_message reply);
+    void take_reply(
+        entry_vm const& peer, time_point start, probe_message const& reply);
     void start_fetch(entry_vm const& peer);
     boost::asio::awaitable<void> fetch(entry_vm peer);
     boost::asio::awaitable<bool> fetch_once(entry_vm peer);
--- a/src/peer_link.cpp
+++ b/src/peer_link.cpp
@@ -143,7 +143,7 @@
               http2_role::client,
               max_message_bytes,
               std::move(totals)),
-          m_peer(peer)
+          m_peer(std::move(peer))
     {
     }
 
