--- a/src/fleet_state.cpp
+++ b/src/fleet_state.cpp
@@ -63,12 +63,13 @@
     {
         return;
     }
+    bool const is_first = !m_outbox.has_sent_state();
     std::vector<member> const before = state().m_members;
     for (log_record const& record : records)
     {
         take_effect(m_log.fold(record));
     }
-    if (m_members_changed)
+    if (m_members_changed && !is_first)
     {
         log_member_changes(before, state().m_members);
     }
@@ -97,6 +98,7 @@
 
 void fleet_state::adopt(time_point now, snapshot_record const& snapshot)
 {
+    bool const is_first = !m_outbox.has_sent_state();
     std::vector<member> const before = state().m_members;
     if (!m_log.adopt(snapshot))
     {
@@ -106,7 +108,10 @@
     fold_effect effect;
     effect.m_replaced_state = true;
     take_effect(effect);
-    log_member_changes(before, state().m_members);
+    if (!is_first)
+    {
+        log_member_changes(before, state().m_members);
+    }
     publish(now);
 }
 
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -443,6 +443,25 @@
         });
 }
 
+TEST_CASE("a VM cut off from the log only follows its peers")
+{
+    // Guards against a VM that admits by its peers with an old version.
+    fleet_fixture fleet;
+    fleet.start({"a", "b", "c"});
+    fleet.command(
+        "/test/cut", json::object{{"vm", "c"}, {"for_ms", 3'600'000}});
+    fleet.pass(4s);
+    CHECK(fleet.m_vms[2]->is_fresh());
+    auto const reply = fleet.put_rate(*fleet.m_vms[0], change_1, 0, 5.0);
+    CHECK(reply.m_code == result_code::ok);
+    fleet.wait_until(
+        [&]
+        {
+            return has_rate(*fleet.m_vms[2], 5.0) && fleet.m_vms[2]->is_fresh();
+        },
+        4s);
+}
+
 TEST_CASE("a VM starts from a peer's state while the log is down")
 {
     fleet_fixture fleet;
