--- a/src/control_stream.cpp
+++ b/src/control_stream.cpp
@@ -125,7 +125,8 @@
         auto record = may_append() ? next_record(now) : std::nullopt;
         if (record)
         {
-            co_await append(std::move(*record));
+            std::string text = to_record(*record);
+            co_await append(std::move(text));
         }
         else
         {
@@ -145,11 +146,10 @@
 }
 
 /// True if the log acknowledged the record.
-boost::asio::awaitable<bool> control_stream::append(control_record record)
+boost::asio::awaitable<bool> control_stream::append(std::string record)
 {
-    std::string text = to_record(record);
     auto const result =
-        co_await m_platform.append(control_stream_name, std::move(text));
+        co_await m_platform.append(control_stream_name, std::move(record));
     m_last_append = runtime_clock::now();
     co_return std::holds_alternative<log_offset>(result);
 }
@@ -220,14 +220,16 @@
 boost::asio::awaitable<void> control_stream::leave(time_point deadline)
 {
     member const self = m_fleet.self();
-    leave_record const record{self.m_vm, self.m_incarnation, "shutdown"};
+    leave_record const record{
+        self.m_vm, self.m_incarnation, std::string{leave_by_shutdown}};
+    std::string const text = to_record(control_record{record});
     bool appended = false;
     while (runtime_clock::now() < deadline &&
            (m_fleet.is_member() || m_join_was_appended))
     {
         if (may_append() && (!appended || m_fleet.is_member()))
         {
-            bool const acknowledged = co_await append(record);
+            bool const acknowledged = co_await append(text);
             if (acknowledged)
             {
                 co_return;
--- a/src/control_stream.hpp
+++ b/src/control_stream.hpp
@@ -53,7 +53,7 @@
     void note_log(bool is_up, std::string const& reason);
     void take(time_point start, read_result const& result);
     [[nodiscard]] bool may_append() const;
-    boost::asio::awaitable<bool> append(control_record record);
+    boost::asio::awaitable<bool> append(std::string record);
     boost::asio::awaitable<void> sleep_until(time_point wake_at);
     std::optional<control_record> next_record(time_point now);
     [[nodiscard]] bool is_snapshot_due() const;
