--- a/src/dispatch_run.cpp
+++ b/src/dispatch_run.cpp
@@ -33,7 +33,8 @@
 class round_robin_dispatcher
 {
 public:
-    round_robin_dispatcher(dispatcher::weight_function, std::uint64_t seed)
+    round_robin_dispatcher(
+        dispatcher::weight_function const&, std::uint64_t seed)
         : m_next{seed}
     {
     }
--- a/src/health_bench.cpp
+++ b/src/health_bench.cpp
@@ -110,6 +110,7 @@
 std::vector<double> detection_times(std::vector<detection_figures> const& runs)
 {
     std::vector<double> times;
+    times.reserve(runs.size());
     for (detection_figures const& run : runs)
     {
         times.push_back(run.m_detection.count());
