Give a new account its base at once

Before, a new client account had no tokens for the rebalance delay (8.5 s): the demo's first 40 previews were all refused with 3001. The account has had no base anywhere, and every VM divides it by the members at the version that creates it, so the sum of bases stays within the account's rate. Configuration updates now carry the control version, without which an increased burst could have raised a base before its version was stable.

--- a/src/rate_share.cpp
+++ b/src/rate_share.cpp
@@ -44,6 +44,7 @@
 
     account_share m_share;
     loan_planner m_planner;
+    bool m_has_lenders = false; ///< the planner knows the present homes
     std::deque<deferred_request> m_deferred;
     std::size_t m_rank = 0; ///< members before this VM in the order of homes
 };
@@ -99,7 +100,10 @@
     implementation(member self, std::uint64_t seed, loan_policy const& policy);
 
     void put_account(
-        time_point now, account_config const& account, control_version version);
+        time_point now,
+        account_config const& account,
+        control_version version,
+        account_origin origin);
     void set_members(time_point now, member_view const& view);
     void settle(time_point now);
     void add_base(
@@ -111,6 +115,7 @@
         account_state& account,
         std::vector<vm_id> const& joined,
         std::vector<vm_id> const& left);
+    loan_planner& planner_of(account_state& account);
     void update_lenders(account_state& account) const;
     admission admit(
         time_point now,
@@ -155,6 +160,7 @@
     control_version m_settled = 0;
     std::deque<settling_version> m_settling;
     std::map<account_name, account_state> m_accounts;
+    std::set<account_name> m_removed;
     std::map<account_name, time_point> m_next_plans;
     std::vector<addressed_loan_message> m_outgoing;
 };
@@ -172,7 +178,10 @@
 }
 
 void rate_share::implementation::put_account(
-    time_point now, account_config const& config, control_version version)
+    time_point now,
+    account_config const& config,
+    control_version version,
+    account_origin origin)
 {
     settle(now);
     auto const [entry, is_new] =
@@ -188,9 +197,15 @@
         account.m_share.configure(now, config);
         account.m_planner = loan_planner{config, m_policy};
     }
-    update_lenders(account);
-    // A new account of the first member has had no base anywhere else.
-    add_base(now, account, version, is_new && m_view.m_is_first);
+    account.m_has_lenders = false;
+    // A new account has had no base anywhere else, and every VM divides it by
+    // the members at the version that creates it. An account that was removed
+    // and created again may still have its earlier base on a VM with an older
+    // view.
+    bool const is_created =
+        origin == account_origin::created && !m_removed.contains(config.m_name);
+    add_base(
+        now, account, version, is_new && (is_created || m_view.m_is_first));
 }
 
 void rate_share::implementation::set_members(
@@ -211,7 +226,7 @@
     for (auto& [name, account] : m_accounts)
     {
         update_rank(account, joined, left);
-        update_lenders(account);
+        account.m_has_lenders = false;
         if (has_gap)
         {
             account.m_share.add_base(now, view.m_version, 0.0);
@@ -245,6 +260,18 @@
         std::size_t(std::count_if(left.begin(), left.end(), is_ahead));
 }
 
+/// Ranks the homes when an account is first used after a change of members:
+/// ranking all members for all accounts would take minutes at the later scale.
+loan_planner& rate_share::implementation::planner_of(account_state& account)
+{
+    if (!account.m_has_lenders)
+    {
+        account.m_has_lenders = true;
+        update_lenders(account);
+    }
+    return account.m_planner;
+}
+
 void rate_share::implementation::update_lenders(account_state& account) const
 {
     auto const homes =
@@ -304,8 +331,8 @@
 {
     serve_deferred(now, account);
     auto planning = context(now);
-    account.m_planner.plan(account.m_share, planning);
-    auto next = account.m_planner.next_plan(account.m_share, now);
+    planner_of(account).plan(account.m_share, planning);
+    auto next = planner_of(account).next_plan(account.m_share, now);
     if (!account.m_deferred.empty())
     {
         time_point const deadline = account.m_deferred.front().m_deadline;
@@ -336,20 +363,20 @@
     account.m_share.advance(now);
     if (!waited_since)
     {
-        account.m_planner.arrived(now);
+        planner_of(account).arrived(now);
     }
     admission result{admission_kind::admitted, {}, {}};
     if (!account.m_share.take())
     {
         if (!waited_since)
         {
-            account.m_planner.add_waiting(now);
+            planner_of(account).add_waiting(now);
         }
         result = wait_or_refuse(now, account, waited_since.value_or(now));
     }
     if (waited_since && result.m_kind != admission_kind::wait)
     {
-        account.m_planner.remove_waiting(*waited_since);
+        planner_of(account).remove_waiting(*waited_since);
     }
     plan(now, name, account);
     return result;
@@ -399,7 +426,7 @@
     double const lacking = request.m_tokens - std::max(0.0, available);
     bool const is_deferred = lacking > 0.0 && available < 1.0 &&
                              now < m_valid_until &&
-                             account.m_planner.send_recalls(
+                             planner_of(account).send_recalls(
                                  account.m_share,
                                  from,
                                  lacking / account.m_share.config().m_burst,
@@ -463,7 +490,7 @@
     }
     share_amount const added = share.lend(
         {request.m_fraction, request.m_tokens},
-        account.m_planner.own_need(share, now));
+        planner_of(account).own_need(share, now));
     if (!is_renewal && added.m_fraction <= 0.0)
     {
         return reply;
@@ -487,7 +514,7 @@
 {
     if (is_valid_amount(reply.m_fraction, reply.m_tokens))
     {
-        account.m_planner.receive(account.m_share, now, from, reply);
+        planner_of(account).receive(account.m_share, now, from, reply);
         plan(now, reply.m_account, account);
     }
 }
@@ -505,7 +532,7 @@
     if (is_recall)
     {
         auto planning = context(now);
-        account.m_planner.recall(share, returned.m_loan_id, planning);
+        planner_of(account).recall(share, returned.m_loan_id, planning);
         return;
     }
     if (is_valid_amount(returned.m_fraction, returned.m_tokens))
@@ -544,14 +571,18 @@
 rate_share& rate_share::operator=(rate_share&&) noexcept = default;
 
 void rate_share::put_account(
-    time_point now, account_config const& account, control_version version)
+    time_point now,
+    account_config const& account,
+    control_version version,
+    account_origin origin)
 {
-    m_implementation->put_account(now, account, version);
+    m_implementation->put_account(now, account, version, origin);
 }
 
 void rate_share::remove_account(time_point, account_name const& name)
 {
     m_implementation->m_accounts.erase(name);
+    m_implementation->m_removed.insert(name);
     m_implementation->m_next_plans.erase(name);
 }
 
--- a/src/rate_share.hpp
+++ b/src/rate_share.hpp
@@ -117,6 +117,13 @@
     double m_message_burst = 80.0;
 };
 
+/// Whether an account may have had a base before.
+enum class account_origin
+{
+    known,  ///< part of a state that was taken over, or changed
+    created ///< new with the version that this VM folds now
+};
+
 class rate_share
 {
 public:
@@ -141,8 +148,13 @@
     /// Adds or changes an account. `version` is the control version that did
     /// it: the number of homes depends on the burst, so that an increase of
     /// the base has to wait for this version like one of the member list.
+    /// With `created` the version is the one that created the account, and
+    /// the members are those of that version: the base applies at once.
     void put_account(
-        time_point now, account_config const& account, control_version version);
+        time_point now,
+        account_config const& account,
+        control_version version,
+        account_origin origin = account_origin::known);
     void remove_account(time_point now, account_name const& name);
 
     /// A newer member list. Decreases of the base apply at once.
--- a/src/traffic_outbox.cpp
+++ b/src/traffic_outbox.cpp
@@ -32,7 +32,10 @@
 bool traffic_outbox::send_whole_config(control_state const& state)
 {
     return send(config_update{
-        state.m_config_version, std::make_unique<config>(state.m_config), {}});
+        state.m_config_version,
+        std::make_unique<config>(state.m_config),
+        {},
+        state.m_version});
 }
 
 /// After a gap an empty view goes first. Rate shares of a member that joined
@@ -61,7 +64,10 @@
     if (!effect.m_operations.empty())
     {
         sent = send(config_update{
-            state.m_config_version, nullptr, effect.m_operations});
+            state.m_config_version,
+            nullptr,
+            effect.m_operations,
+            state.m_version});
     }
     if (sent && effect.m_members_changed)
     {
--- a/src/traffic_state.cpp
+++ b/src/traffic_state.cpp
@@ -181,7 +181,10 @@
 
 void traffic_state::apply(time_point now, put_account const& operation)
 {
-    m_rates.put_account(now, operation.m_account, m_control_version);
+    // The control thread sends operations and members in fold order, so that
+    // the members known here are those of the version.
+    m_rates.put_account(
+        now, operation.m_account, m_control_version, account_origin::created);
 }
 
 void traffic_state::apply(time_point now, remove_account const& operation)
