--- /dev/null
+++ b/tests/process_faults.py
@@ -0,0 +1,251 @@
+"""Faults with real processes: kill, freeze, cut, lost answers, log outage.
+
+The checks read only what callers, upstreams and the platform saw. Waits poll
+for a condition with a generous limit, so that the verdict does not depend on
+how busy the machine is; limits that are promises count from a stated event.
+"""
+
+import json
+import os
+import signal
+import sys
+import threading
+import time
+import unittest
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+sys.path.insert(0, os.path.join(ROOT, "scripts"))
+
+from demo import bearer, uuid7  # noqa: E402
+from fleet import Fleet, call, wait_until  # noqa: E402
+
+ACCOUNT = "pet-shops-pettah"
+KEY = f"demo-key-{ACCOUNT}"
+SHORT_MS = 1500
+
+
+class Order:
+    """One non-idempotent request with everything that its caller saw."""
+
+    def __init__(self):
+        self.key = uuid7()
+        self.answers = []  # (status, result code, run state, body)
+
+    def send(self, entry):
+        headers = bearer(KEY, **{"Idempotency-Key": self.key})
+        try:
+            status, fields, body = call(
+                entry.address, "POST", "/engraving-orders/new",
+                self.key.encode(), headers, timeout=15)
+        except OSError as error:
+            self.answers.append((0, "", "may_have_run", str(error)))
+            return 0
+        code = fields.get("Briarhub-Result", "0")
+        run = "ran"
+        if status != 200:
+            run = json.loads(body).get("run", "may_have_run")
+        self.answers.append((status, code, run, body))
+        return status
+
+
+class FaultTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet(
+            "kolamba", 4, {"order-desk": 4, "proof-vault": 2},
+            build=os.environ.get("BRIARHUB_BUILD", "build/release"))
+        self.addCleanup(self.fleet.stop)
+        self.fleet.start()
+        self.fleet.apply_example()
+
+    def runs_by_key(self):
+        runs = {}
+        for upstream in self.fleet.of_service("order-desk"):
+            for run in upstream.runs():
+                runs.setdefault(run["idempotency_key"], []).append(run)
+        return runs
+
+    def check_orders(self, orders):
+        self.check_runs(orders, self.runs_by_key())
+
+    def check_runs(self, orders, runs):
+        """At most one run; whole equal answers; true refusals."""
+        for order in orders:
+            count = len(runs.get(order.key, []))
+            self.assertLessEqual(count, 1, order.answers)
+            bodies = {a[3] for a in order.answers if a[0] == 200}
+            self.assertLessEqual(len(bodies), 1, order.answers)
+            if bodies:
+                self.assertEqual(count, 1, order.answers)
+                answer = json.loads(bodies.pop())
+                self.assertEqual(answer["idempotency_key"], order.key)
+                self.assertEqual(answer["account"], ACCOUNT)
+            if all(a[2] == "not_run" for a in order.answers):
+                self.assertEqual(count, 0, order.answers)
+
+    def send_through(self, orders, entries, fault):
+        """Sends each order through two VMs while the fault happens."""
+
+        def work(number):
+            for i in range(number, len(orders), 8):
+                for turn in range(2):
+                    orders[i].send(entries[(i + turn) % len(entries)])
+
+        threads = [threading.Thread(target=work, args=(n,)) for n in range(8)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.3)
+        fault()
+        for thread in threads:
+            thread.join()
+
+    def test_orders_run_once_through_kill_and_lost_answers(self):
+        """Guards against a second run after a claim whose answer was lost and
+        after the death of the VM that ran the order."""
+        orders = [Order() for _ in range(80)]
+
+        def fault():
+            self.fleet.platform("POST", "/test/lose-answers",
+                                {"count": 5, "stream": "claims-0"})
+            time.sleep(0.3)
+            self.fleet.entries[0].process.popen.kill()
+
+        self.send_through(orders, self.fleet.entries, fault)
+        self.check_orders(orders)
+        self.assertTrue(any(o.answers[0][0] == 200 for o in orders))
+
+    def test_orders_are_refused_truthfully_in_a_log_outage(self):
+        """Guards against running an order without a claim."""
+        before = Order()
+        self.assertEqual(before.send(self.fleet.entries[0]), 200)
+        self.fleet.platform("POST", "/test/outage", {"for_ms": 4000})
+        orders = [Order() for _ in range(8)]
+        for order in orders:
+            order.send(self.fleet.entries[1])
+        statuses = [o.answers[0][0] for o in orders]
+        self.assertEqual(statuses, [503] * 8)
+        self.check_orders([before, *orders])
+
+        def runs_again():
+            order = Order()
+            orders.append(order)
+            return order.send(self.fleet.entries[1]) == 200
+
+        self.assertIsNotNone(wait_until(runs_again, 60, 0.3))
+        self.check_orders([before, *orders])
+
+    def test_frozen_vm_does_not_serve_an_old_configuration(self):
+        """Guards against a VM that resumes after a pause longer than every
+        lease and still accepts a key that was withdrawn meanwhile."""
+        frozen = self.fleet.entries[2]
+        self.assertEqual(self.preview(frozen), 200)
+        frozen.process.send_signal(signal.SIGSTOP)
+        key_id = self.key_id()
+        code, text = self.fleet.ctl("key", "withdraw", key_id)
+        self.assertEqual(code, 0, text)
+        time.sleep(5)
+        frozen.process.send_signal(signal.SIGCONT)
+        statuses = {self.preview(frozen) for _ in range(20)}
+        self.assertTrue(statuses <= {401, 503}, statuses)
+        self.assertIsNotNone(
+            wait_until(lambda: self.preview(frozen) == 401, 60))
+
+    def test_orders_of_a_frozen_vm_run_once(self):
+        """Guards against a claim that is taken over while its author is only
+        paused."""
+        orders = [Order() for _ in range(40)]
+        frozen = self.fleet.entries[1]
+
+        def fault():
+            frozen.process.send_signal(signal.SIGSTOP)
+            time.sleep(4)
+            frozen.process.send_signal(signal.SIGCONT)
+
+        self.send_through(orders, self.fleet.entries, fault)
+        self.check_orders(orders)
+
+    def test_vm_cut_off_from_the_log_learns_of_a_withdrawal(self):
+        """Guards against a VM that keeps accepting a withdrawn key because it
+        cannot read the log."""
+        cut = self.fleet.entries[3]
+        self.fleet.platform(
+            "POST", "/test/cut",
+            {"vm": cut.vm, "for_ms": 60000, "direction": "answers"})
+        time.sleep(2)
+        self.assertEqual(self.preview(cut), 200)
+        code, text = self.fleet.ctl("key", "withdraw", self.key_id())
+        self.assertEqual(code, 0, text)
+        # `withdraw` answers when a majority holds the change; every other VM
+        # has learned of it or stops admitting within the freshness window.
+        time.sleep(3)
+        self.assertIn(self.preview(cut), (401, 503))
+
+    def test_leaving_upstream_gets_no_new_work(self):
+        """Guards against work for an upstream after it was listed as
+        leaving."""
+        leaving = self.fleet.of_service("order-desk")[0]
+        self.fleet.publish_vms(leaving=[leaving])
+        time.sleep(4)
+        before = len(leaving.runs())
+        for i in range(40):
+            self.assertEqual(
+                self.preview(self.fleet.entries[i % 4]), 200)
+        self.assertEqual(len(leaving.runs()), before)
+
+    def test_replaced_vm_joins_while_the_log_is_down(self):
+        """Guards against a replacement that serves without the configuration
+        or waits for the log although its peers hold the state."""
+        replaced = self.fleet.entries[0]
+        replaced.process.popen.kill()
+        replaced.process.popen.wait()
+        self.fleet.platform("POST", "/test/outage", {"for_ms": 20000})
+        replaced.start()
+        statuses = set()
+
+        def serves():
+            try:
+                statuses.add(self.preview(replaced))
+            except OSError:
+                pass
+            return 200 in statuses
+
+        wait_until(serves, 60)
+        self.assertTrue(statuses <= {200, 429, 503}, statuses)
+        self.assertIn(200, statuses)
+
+    def preview(self, entry):
+        return call(entry.address, "GET", "/previews/x",
+                    headers=bearer(KEY), timeout=15)[0]
+
+    def key_id(self):
+        _, body = self.fleet.entries[0].admin("/api/v1/config")
+        return next(
+            name
+            for name, key in body["config"]["keys"].items()
+            if key["account"] == ACCOUNT
+        )
+
+
+class CheckerTest(unittest.TestCase):
+    """Guards against a checker that accepts broken promises."""
+
+    def refuses(self, answers, run_count):
+        order = Order()
+        order.answers = answers
+        with self.assertRaises(AssertionError):
+            FaultTest().check_runs([order], {order.key: [{}] * run_count})
+
+    def test_a_second_run_is_found(self):
+        self.refuses([(0, "", "may_have_run", "")], 2)
+
+    def test_a_false_refusal_is_found(self):
+        self.refuses([(503, "4006", "not_run", b"")], 1)
+
+    def test_two_answers_are_found(self):
+        self.refuses([(200, "0", "ran", b"a"), (200, "0", "ran", b"b")], 1)
+
+    def test_an_answer_without_a_run_is_found(self):
+        self.refuses([(200, "0", "ran", b"{}")], 0)
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
