Run the outlier tests with a margin on false alarms

The fleet ejected healthy upstreams 0.038 times per upstream and hour at a setting of 0.01, since several VMs test each upstream and slow answers come in groups.

--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -333,14 +333,14 @@
     results.rows.extend(rows)
     points = {}
     for row in rows:
-        setting, _, figure = row["name"].rpartition("/")
+        figure, _, setting = row["name"].partition(", setting ")
         points.setdefault(setting, {})[figure] = row["value"]
     data = os.path.join(directory, "detection.dat")
     with open(data, "w", encoding="ascii") as file:
         for setting, figures in points.items():
-            values = list(figures.values())
-            if len(values) >= 2:
-                file.write(" ".join(str(v) for v in values) + f" {setting}\n")
+            file.write(
+                f"{figures['hang detection by day']} "
+                f"{figures['false ejections by day']} {setting}\n")
     script = (
         "set terminal svg size 640,420; "
         f"set output '{os.path.join(directory, 'detection.svg')}'; "
--- a/src/health.cpp
+++ b/src/health.cpp
@@ -89,6 +89,9 @@
 /// about this VM and not about upstreams.
 constexpr std::chrono::seconds pause_limit{1};
 
+/// The tests run with the configured false ejections divided by this.
+constexpr double false_alarm_margin = 10.0;
+
 /// Evidence of slowness needs at least this age: shorter delays come from the
 /// scheduling of small VMs.
 constexpr std::chrono::milliseconds least_slow_age{20};
@@ -519,13 +522,16 @@
         add_evidence(now, record, m_self, sums, true);
     }
 
-    // Thresholds. The allowed false alarms are shared by the two tests.
+    // Thresholds. The allowed false alarms are shared by the two tests and
+    // reduced by a margin: several VMs test each upstream, and slow answers
+    // come in groups, so that the fleet ejected about four times as often.
 
     [[nodiscard]] double threshold(double outcomes_per_hour) const
     {
         return alarm_threshold(
             outcomes_per_hour,
-            m_config.m_detection.m_false_ejections_per_hour / 2.0);
+            m_config.m_detection.m_false_ejections_per_hour / 2.0 /
+                false_alarm_margin);
     }
 
     void update_thresholds(time_point now, service_record& service) const
