--- a/src/health.cpp
+++ b/src/health.cpp
@@ -381,65 +381,63 @@
             service.m_fleet_rate.add(now, sums.total());
         }
         double const share = record.m_is_cold ? cold_evidence_share : 1.0;
-        add_fault(now, record, reporter, sums, share, is_own);
-        add_wrong(now, record, reporter, sums, share, is_own);
+        test_input const fault{
+            service.m_fault_counts,
+            record.m_fault_counts,
+            least_fault_ratio,
+            sick_fault_ratio,
+            share * sums.m_fault,
+            sums.m_good,
+            record.m_local.m_fault,
+            record.m_pooled.m_fault};
+        add_to_test(now, record, reporter, fault, is_own);
+        test_input const wrong{
+            service.m_wrong_counts,
+            record.m_wrong_counts,
+            least_wrong_ratio,
+            sick_wrong_ratio,
+            share * sums.m_wrong,
+            sums.m_good,
+            record.m_local.m_wrong,
+            record.m_pooled.m_wrong};
+        add_to_test(now, record, reporter, wrong, is_own);
         count(record, sums);
     }
 
-    void add_fault(
-        time_point now,
-        upstream_record& record,
-        member const& reporter,
-        outcome_sums const& sums,
-        double share,
-        bool is_own)
+    /// What one of the two tests needs of a batch of outcomes.
+    struct test_input
     {
-        double const p0 = healthy_ratio(
-            others(
-                record.m_service->m_fault_counts,
-                record.m_fault_counts,
-                *record.m_service),
-            least_fault_ratio);
-        test_weights const weights = make_weights(p0, sick_fault_ratio);
-        double const bad = share * sums.m_fault * weights.m_bad;
-        double const good = sums.m_good * weights.m_good;
-        add_scores(
-            now,
-            reporter,
-            bad,
-            good,
-            is_own,
-            record,
-            record.m_local.m_fault,
-            record.m_pooled.m_fault);
-    }
+        fading_counts const& m_service_counts;
+        fading_counts const& m_own_counts;
+        double m_least_ratio; ///< bad outcomes of a healthy upstream, at least
+        double m_sick_ratio;  ///< bad outcomes of a sick upstream, at least
+        double m_bad;
+        double m_good;
+        cusum& m_local;
+        pooled_score& m_pooled;
+    };
 
-    void add_wrong(
+    void add_to_test(
         time_point now,
-        upstream_record& record,
+        upstream_record const& record,
         member const& reporter,
-        outcome_sums const& sums,
-        double share,
+        test_input const& input,
         bool is_own)
     {
         double const p0 = healthy_ratio(
             others(
-                record.m_service->m_wrong_counts,
-                record.m_wrong_counts,
-                *record.m_service),
-            least_wrong_ratio);
-        test_weights const weights = make_weights(p0, sick_wrong_ratio);
-        double const bad = share * sums.m_wrong * weights.m_bad;
-        double const good = sums.m_good * weights.m_good;
+                input.m_service_counts, input.m_own_counts, *record.m_service),
+            input.m_least_ratio);
+        test_weights const weights = make_weights(p0, input.m_sick_ratio);
         add_scores(
             now,
             reporter,
-            bad,
-            good,
+            input.m_bad * weights.m_bad,
+            input.m_good * weights.m_good,
             is_own,
             record,
-            record.m_local.m_wrong,
-            record.m_pooled.m_wrong);
+            input.m_local,
+            input.m_pooled);
     }
 
     void add_scores(
