--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -53,15 +53,18 @@
     )
 
 
+def bench_rows(build, name, seed):
+    """The results of one subcommand of briar-bench."""
+    done = subprocess.run(
+        [os.path.join(build, "briar-bench"), name, "--seed", str(seed),
+         "--json"],
+        capture_output=True, text=True, check=True)
+    return json.loads(done.stdout.splitlines()[0])["results"]
+
+
 def run_benches(results, build, names):
     for name in names:
-        arguments = [
-            os.path.join(build, "briar-bench"), name,
-            "--seed", str(results.seed), "--json",
-        ]
-        done = subprocess.run(arguments, capture_output=True, text=True)
-        text = done.stdout[: done.stdout.rindex("signature:")]
-        for row in json.loads(text):
+        for row in bench_rows(build, name, results.seed):
             results.rows.append(row)
             print(format_row(row), flush=True)
 
@@ -325,11 +328,7 @@
 
 def plot(results, build, directory):
     """Detection time against false ejections, as SVG."""
-    done = subprocess.run(
-        [os.path.join(build, "briar-bench"), "health-sweep",
-         "--seed", str(results.seed), "--json"],
-        capture_output=True, text=True)
-    rows = json.loads(done.stdout[: done.stdout.rindex("signature:")])
+    rows = bench_rows(build, "health-sweep", results.seed)
     results.rows.extend(rows)
     points = {}
     for row in rows:
