Parse endpoints in one place

Peer link, platform client, traffic thread and upstream pool each had their own parser of "ip:port" beside split_endpoint; they now call parse_endpoint. Two of the four refused the bracketed IPv6 form that the settings accept; they take it now. The control log uses sha256_hex instead of its own copy.

--- a/src/briar_load_main.cpp
+++ b/src/briar_load_main.cpp
@@ -2,6 +2,7 @@
 /// checks each answer and prints what callers got.
 
 #include "load_client.hpp"
+#include "parse_number.hpp"
 #include "upstream_pool.hpp"
 
 #include <boost/algorithm/string/classification.hpp>
@@ -142,7 +143,7 @@
         boost::algorithm::is_any_of(","));
     for (endpoint_address const& target : targets)
     {
-        if (!to_endpoint(target))
+        if (!parse_endpoint(target))
         {
             throw std::invalid_argument("'" + target + "' is not IP:PORT");
         }
--- a/src/control_log.cpp
+++ b/src/control_log.cpp
@@ -1,10 +1,10 @@
 #include "control_log.hpp"
 
+#include "caller_key.hpp"
+
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
-#include <openssl/evp.h>
-
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -20,22 +20,6 @@
 constexpr std::size_t max_id_bytes = 128;
 constexpr std::size_t uuid_length = 36;
 
-std::string sha256_of(std::string_view text)
-{
-    constexpr char digits[] = "0123456789abcdef";
-    std::array<unsigned char, EVP_MAX_MD_SIZE> bytes{};
-    unsigned size = 0;
-    EVP_Digest(
-        text.data(), text.size(), bytes.data(), &size, EVP_sha256(), nullptr);
-    std::string result;
-    for (unsigned i = 0; i < size; ++i)
-    {
-        result += digits[bytes[i] >> 4];
-        result += digits[bytes[i] & 15];
-    }
-    return result;
-}
-
 bool is_hex(char c)
 {
     return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
@@ -524,7 +508,7 @@
         {"through_offset", record.m_through_offset},
         {"stable_version", record.m_stable_version},
         {"state", to_json_value(record.m_state)}};
-    std::string const digest = sha256_of(json::serialize(result));
+    std::string const digest = sha256_hex(json::serialize(result));
     result["digest"] = digest;
     return result;
 }
--- a/src/load_client.cpp
+++ b/src/load_client.cpp
@@ -2,6 +2,7 @@
 
 #include "claim_key.hpp"
 #include "clock.hpp"
+#include "parse_number.hpp"
 #include "upstream_client.hpp"
 #include "upstream_pool.hpp"
 
@@ -339,7 +340,7 @@
         auto& socket = connection.m_socket;
         if (!connected)
         {
-            auto const endpoint = to_endpoint(work.m_target);
+            auto const endpoint = parse_endpoint(work.m_target);
             if (!endpoint)
             {
                 co_return broken(
--- a/src/parse_number.cpp
+++ b/src/parse_number.cpp
@@ -27,4 +27,16 @@
     return ip_endpoint{std::string{ip}, *port};
 }
 
+std::optional<boost::asio::ip::tcp::endpoint>
+parse_endpoint(std::string_view text)
+{
+    auto const parts = split_endpoint(text);
+    if (!parts)
+    {
+        return std::nullopt;
+    }
+    return boost::asio::ip::tcp::endpoint{
+        boost::asio::ip::make_address(parts->m_ip), parts->m_port};
+}
+
 } // namespace briarhub
--- a/src/parse_number.hpp
+++ b/src/parse_number.hpp
@@ -3,6 +3,8 @@
 
 /// Strict parsing of numbers and addresses in settings and headers.
 
+#include <boost/asio/ip/tcp.hpp>
+
 #include <charconv>
 #include <cstdint>
 #include <optional>
@@ -36,6 +38,10 @@
 /// Splits "ip:port" or "[ip6]:port"; nullopt for anything else.
 std::optional<ip_endpoint> split_endpoint(std::string_view text);
 
+/// The same as a TCP endpoint.
+std::optional<boost::asio::ip::tcp::endpoint>
+parse_endpoint(std::string_view text);
+
 } // namespace briarhub
 
 #endif
--- a/src/peer_link.cpp
+++ b/src/peer_link.cpp
@@ -1,13 +1,13 @@
 #include "peer_link.hpp"
 
 #include "http2_connection.hpp"
+#include "parse_number.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <map>
 #include <stdexcept>
 
@@ -267,30 +267,6 @@
 
 } // namespace
 
-std::optional<tcp::endpoint> parse_endpoint(endpoint_address const& address)
-{
-    std::size_t const colon = address.rfind(':');
-    if (colon == std::string::npos)
-    {
-        return std::nullopt;
-    }
-    std::string host = address.substr(0, colon);
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
-    {
-        host = host.substr(1, host.size() - 2);
-    }
-    std::uint16_t port = 0;
-    char const* const end = address.data() + address.size();
-    auto const parsed = std::from_chars(address.data() + colon + 1, end, port);
-    boost::system::error_code error;
-    auto const ip = boost::asio::ip::make_address(host, error);
-    if (error || parsed.ec != std::errc{} || parsed.ptr != end)
-    {
-        return std::nullopt;
-    }
-    return tcp::endpoint{ip, port};
-}
-
 struct peer_server::implementation
 {
     implementation(
--- a/src/peer_link.hpp
+++ b/src/peer_link.hpp
@@ -36,10 +36,6 @@
 using peer_handler = std::function<void(
     std::string_view path, std::string_view message, peer_responder respond)>;
 
-/// Splits "ip:port" or "[ip]:port"; nullopt if it is malformed.
-std::optional<boost::asio::ip::tcp::endpoint>
-parse_endpoint(endpoint_address const& address);
-
 struct peer_byte_totals
 {
     std::uint64_t m_sent = 0;
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -1,5 +1,7 @@
 #include "platform_client.hpp"
 
+#include "parse_number.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -7,7 +9,6 @@
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 
-#include <charconv>
 #include <utility>
 
 namespace briarhub
@@ -30,29 +31,6 @@
 
 constexpr auto vm_header = "Briarhub-Vm";
 
-/// Largest port number.
-constexpr unsigned max_port = 65535;
-
-std::optional<tcp::endpoint> parse_endpoint(endpoint_address const& text)
-{
-    auto const colon = text.rfind(':');
-    if (colon == std::string::npos)
-    {
-        return std::nullopt;
-    }
-    boost::system::error_code error;
-    auto const ip = asio::ip::make_address(text.substr(0, colon), error);
-    unsigned port = 0;
-    char const* const end = text.data() + text.size();
-    auto const parsed = std::from_chars(text.data() + colon + 1, end, port);
-    if (error || parsed.ec != std::errc{} || parsed.ptr != end ||
-        port > max_port)
-    {
-        return std::nullopt;
-    }
-    return tcp::endpoint{ip, static_cast<std::uint16_t>(port)};
-}
-
 /// One keep-alive connection. Used by one exchange at a time.
 struct connection
 {
--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -1,6 +1,7 @@
 #include "traffic.hpp"
 
 #include "caller_session.hpp"
+#include "parse_number.hpp"
 #include "traffic_state.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -9,7 +10,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <charconv>
 #include <list>
 #include <string>
 #include <string_view>
@@ -33,26 +33,16 @@
 constexpr std::size_t max_refusing_connections = 64;
 
 /// Throws boost::system::system_error.
-asio::ip::tcp::endpoint parse_endpoint(endpoint_address const& address)
+asio::ip::tcp::endpoint listen_endpoint(endpoint_address const& address)
 {
-    auto const colon = address.rfind(':');
-    std::string_view host{address.data(), std::min(colon, address.size())};
-    if (host.starts_with('[') && host.ends_with(']'))
-    {
-        host = host.substr(1, host.size() - 2);
-    }
-    std::uint16_t port = 0;
-    auto const* end = address.data() + address.size();
-    auto const* begin =
-        colon == std::string::npos ? end : address.data() + colon + 1;
-    auto const [last, error] = std::from_chars(begin, end, port);
-    if (error != std::errc{} || last != end)
+    auto const endpoint = parse_endpoint(address);
+    if (!endpoint)
     {
         throw boost::system::system_error{
             make_error_code(asio::error::invalid_argument),
             "listen address " + address};
     }
-    return {asio::ip::make_address(host), port};
+    return *endpoint;
 }
 
 /// Accepts callers and runs the periodic work. Its coroutines share it.
@@ -67,7 +57,7 @@
         mailbox<control_message>& to_control)
         : m_state(std::make_shared<traffic_state>(
               io, options, self, metrics, to_control)),
-          m_acceptor(io, parse_endpoint(options.m_listen)), m_tick_timer(io),
+          m_acceptor(io, listen_endpoint(options.m_listen)), m_tick_timer(io),
           m_connections(metrics.get_gauge("briarhub_caller_connections"))
     {
         m_state->m_on_stopping = [this]
--- a/src/upstream_client.cpp
+++ b/src/upstream_client.cpp
@@ -1,6 +1,7 @@
 #include "upstream_client.hpp"
 
 #include "clock.hpp"
+#include "parse_number.hpp"
 #include "upstream_pool.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -279,7 +280,7 @@
     net::awaitable<bool> connect()
     {
         error_code error = net::error::invalid_argument;
-        auto const endpoint = to_endpoint(m_target.m_address);
+        auto const endpoint = parse_endpoint(m_target.m_address);
         m_control->m_connection = m_state->m_pool.make(m_target.m_address);
         if (endpoint)
         {
--- a/src/upstream_pool.cpp
+++ b/src/upstream_pool.cpp
@@ -3,7 +3,6 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 
-#include <charconv>
 #include <string>
 #include <utility>
 
@@ -32,27 +31,6 @@
 
 } // namespace
 
-std::optional<net::ip::tcp::endpoint>
-to_endpoint(endpoint_address const& address)
-{
-    auto const colon = address.rfind(':');
-    if (colon == std::string::npos)
-    {
-        return std::nullopt;
-    }
-    boost::system::error_code error;
-    auto const ip = net::ip::make_address(address.substr(0, colon), error);
-    std::uint16_t port = 0;
-    char const* const end = address.data() + address.size();
-    auto const [last, failure] =
-        std::from_chars(address.data() + colon + 1, end, port);
-    if (error || failure != std::errc{} || last != end)
-    {
-        return std::nullopt;
-    }
-    return net::ip::tcp::endpoint{ip, port};
-}
-
 upstream_connection::upstream_connection(
     net::io_context& io, endpoint_address address, std::size_t& open_count)
     : m_socket(io), m_address(std::move(address)), m_open_count(open_count)
--- a/src/upstream_pool.hpp
+++ b/src/upstream_pool.hpp
@@ -24,10 +24,6 @@
 /// connections, and 36 VMs share it.
 inline constexpr std::size_t max_idle_connections = 8;
 
-/// Reads `ip:port`.
-std::optional<boost::asio::ip::tcp::endpoint>
-to_endpoint(endpoint_address const& address);
-
 /// One connection to an upstream, used for one request at a time.
 struct upstream_connection
 {
