--- a/scripts/format.sh
+++ b/scripts/format.sh
@@ -7,5 +7,5 @@
 if [ "${1:-}" = "--check" ]; then
     mode=(--dry-run --Werror)
 fi
-find src tests -name '*.hpp' -print0 -o -name '*.cpp' -print0 |
+find src platform tests -name '*.hpp' -print0 -o -name '*.cpp' -print0 |
     xargs -0 -r clang-format "${mode[@]}"
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -2,4 +2,4 @@
 # Regenerates the committed protobuf sources.
 set -euo pipefail
 cd "$(dirname "$0")/../src"
-protoc --cpp_out=. peer.proto
+protoc --cpp_out=. peer.proto gossip.proto
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,7 +8,7 @@
 
 files=("$@")
 if [ "${#files[@]}" -eq 0 ]; then
-    mapfile -t files < <(find src tests -name '*.cpp' | sort)
+    mapfile -t files < <(find src platform tests -name '*.cpp' | sort)
 fi
 # GCC's <coroutine> needs this macro, which clang 14 does not define.
 printf '%s\0' "${files[@]}" |
--- /dev/null
+++ b/src/edge_filters.cpp
@@ -0,0 +1,213 @@
+#include "edge_filters.hpp"
+
+#include "caller_key.hpp"
+#include "parse_number.hpp"
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <string>
+#include <variant>
+
+namespace briarhub
+{
+namespace
+{
+
+namespace http = boost::beast::http;
+
+/// Wait of a caller that met a VM without a policy; one arrives within
+/// milliseconds once the store or a peer answers.
+constexpr std::chrono::milliseconds starting_wait{300};
+
+/// Bounds of the wait told to a caller over its rate.
+constexpr duration min_rate_wait = std::chrono::milliseconds{100};
+constexpr duration max_rate_wait = std::chrono::seconds{2};
+
+/// Refuses while no policy is known.
+struct policy_filter
+{
+};
+
+/// Finds the route.
+struct path_filter
+{
+};
+
+/// Finds the client account by the caller's key.
+struct account_filter
+{
+};
+
+/// Fixes the deadline and the service.
+struct target_filter
+{
+};
+
+/// Refuses requests that were in flight at several upstream crashes.
+struct suspect_filter
+{
+};
+
+/// Takes the request from the account's allowance.
+struct rate_filter
+{
+};
+
+using edge_filter = std::variant<
+    policy_filter,
+    path_filter,
+    account_filter,
+    target_filter,
+    suspect_filter,
+    rate_filter>;
+
+constexpr std::array<edge_filter, 6> filters{
+    policy_filter{},
+    path_filter{},
+    account_filter{},
+    target_filter{},
+    suspect_filter{},
+    rate_filter{}};
+
+std::string_view to_view(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+std::optional<refusal> refuse(result_code code)
+{
+    return refusal{code, std::nullopt};
+}
+
+std::optional<refusal>
+run(policy_filter, edge_state& state, edge_request& request)
+{
+    request.m_policy = state.policy();
+    if (!request.m_policy)
+    {
+        return refusal{result_code::starting, duration{starting_wait}};
+    }
+    return std::nullopt;
+}
+
+std::optional<refusal> run(path_filter, edge_state&, edge_request& request)
+{
+    request.m_route = request.m_policy->find_route(
+        to_view(request.m_head[http::field::host]),
+        path_of(to_view(request.m_head.target())));
+    if (request.m_route == nullptr)
+    {
+        return refuse(result_code::unknown_route);
+    }
+    request.m_priority = request.m_route->m_priority;
+    return std::nullopt;
+}
+
+std::optional<refusal>
+run(account_filter, edge_state& state, edge_request& request)
+{
+    auto const& policy = *request.m_policy;
+    auto const key = request.m_head.find(state.m_names.m_caller_key);
+    bool const has_key = key != request.m_head.end();
+    bool const needs_key = policy.needs_keys() && !request.m_route->m_is_public;
+    if (needs_key && !has_key)
+    {
+        return refuse(result_code::missing_key);
+    }
+    auto const* account =
+        has_key ? policy.find_account(to_view(key->value())) : nullptr;
+    if (account != nullptr)
+    {
+        request.m_account = account->m_name;
+        request.m_priority = account->m_priority.value_or(request.m_priority);
+        return std::nullopt;
+    }
+    return needs_key ? refuse(result_code::unknown_key) : std::nullopt;
+}
+
+/// A service by the weights of the route's parts.
+service_name choose_service(edge_state& state, route_policy const& route)
+{
+    double total = 0.0;
+    for (auto const& part : route.m_parts)
+    {
+        total += part.m_weight;
+    }
+    double left = std::uniform_real_distribution<>{0.0, total}(state.m_random);
+    for (auto const& part : route.m_parts)
+    {
+        left -= part.m_weight;
+        if (left < 0.0)
+        {
+            return part.m_service;
+        }
+    }
+    return route.m_parts.back().m_service;
+}
+
+std::optional<refusal>
+run(target_filter, edge_state& state, edge_request& request)
+{
+    request.m_deadline = request.m_received + request.m_route->m_time_limit;
+    auto const stated = parse_number<std::uint32_t>(
+        to_view(request.m_head[state.m_names.m_time_left]));
+    if (stated)
+    {
+        request.m_deadline = std::min(
+            request.m_deadline,
+            request.m_received + std::chrono::milliseconds{*stated});
+    }
+    request.m_service = choose_service(state, *request.m_route);
+    return std::nullopt;
+}
+
+std::optional<refusal>
+run(suspect_filter, edge_state& state, edge_request& request)
+{
+    request.m_digest = sha256_hex(
+        request.m_account + '\n' + std::string{request.m_head.method_string()} +
+        '\n' + std::string{request.m_head.target()} + '\n' + request.m_body);
+    if (state.m_suspects.is_refused(request.m_received, request.m_digest))
+    {
+        return refuse(result_code::suspect_request_refused);
+    }
+    return std::nullopt;
+}
+
+std::optional<refusal>
+run(rate_filter, edge_state& state, edge_request& request)
+{
+    if (request.m_account.empty() ||
+        state.m_caps.try_admit(request.m_received, request.m_account))
+    {
+        return std::nullopt;
+    }
+    auto const wait =
+        state.m_caps.admission_wait(request.m_received, request.m_account);
+    return refusal{
+        result_code::over_rate, std::clamp(wait, min_rate_wait, max_rate_wait)};
+}
+
+} // namespace
+
+std::optional<refusal>
+run_edge_filters(edge_state& state, edge_request& request)
+{
+    for (auto const& filter : filters)
+    {
+        auto ended = std::visit(
+            [&](auto const& each)
+            {
+                return run(each, state, request);
+            },
+            filter);
+        if (ended)
+        {
+            return ended;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace briarhub
--- /dev/null
+++ b/src/edge_process.cpp
@@ -0,0 +1,303 @@
+#include "edge_process.hpp"
+
+#include "edge_traffic.hpp"
+#include "event_log.hpp"
+#include "logging.hpp"
+#include "mailbox.hpp"
+#include "state_feed.hpp"
+#include "status_server.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/system/system_error.hpp>
+
+#include <csignal>
+#include <thread>
+#include <utility>
+
+namespace briarhub
+{
+namespace
+{
+
+constexpr int exit_start_failed = 3;
+
+constexpr std::size_t ring_messages = 4096;
+
+/// The settings file may change without a signal.
+constexpr std::chrono::seconds settings_check_interval{5};
+
+/// Messages from the traffic to the control thread.
+using control_news = std::variant<store_duty, newer_peer>;
+
+struct event_loop
+{
+    boost::asio::io_context m_io{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+        m_work{m_io.get_executor()};
+};
+
+/// A traffic thread and a control thread, joined by rings.
+class edge_process
+{
+public:
+    edge_process(edge_settings const& options, edge_platform const& platform)
+        : m_options(options), m_platform(platform), m_events(options.m_vm),
+          m_store(platform.m_make_store(m_control_loop.m_io)),
+          m_traffic(
+              m_traffic_loop.m_io,
+              m_options,
+              m_platform.m_names,
+              m_metrics,
+              m_events,
+              [this](store_duty duty)
+              {
+                  m_to_control.push(duty);
+              },
+              [this](newer_peer const& peer)
+              {
+                  m_to_control.push(peer);
+              }),
+          m_feed(
+              m_control_loop.m_io,
+              m_options,
+              *m_store,
+              m_metrics,
+              m_events,
+              [this](feed_news&& news)
+              {
+                  m_to_traffic.push(std::move(news));
+              }),
+          m_ready_server(
+              m_control_loop.m_io,
+              m_options.m_ready_listen,
+              [this](std::string_view)
+              {
+                  bool const is_ready = m_traffic.is_ready();
+                  return status_answer{
+                      is_ready ? 200U : 503U, is_ready ? "ready" : "not ready"};
+              }),
+          m_signals(m_control_loop.m_io, SIGTERM, SIGINT, SIGHUP)
+    {
+        if (!m_options.m_metrics_listen.empty())
+        {
+            m_metrics_server = std::make_unique<status_server>(
+                m_control_loop.m_io,
+                m_options.m_metrics_listen,
+                [this](std::string_view)
+                {
+                    return status_answer{200, m_metrics.to_text()};
+                });
+        }
+    }
+
+    void run()
+    {
+        m_traffic.start();
+        m_feed.start();
+        m_ready_server.start();
+        if (m_metrics_server)
+        {
+            m_metrics_server->start();
+        }
+        wait_for_signal();
+        check_settings_later();
+        m_events.write(
+            "start",
+            {{"listen", m_options.m_listen},
+             {"failure_domain", m_options.m_failure_domain},
+             {"store", m_options.m_store},
+             {"version", BRIARHUB_VERSION}});
+        std::thread traffic_thread{[this]
+                                   {
+                                       m_traffic_loop.m_io.run();
+                                   }};
+        m_control_loop.m_io.run();
+        m_traffic_loop.m_io.stop();
+        traffic_thread.join();
+        m_events.write("stop", {});
+    }
+
+private:
+    void wait_for_signal()
+    {
+        m_signals.async_wait(
+            [this](boost::system::error_code error, int signal)
+            {
+                if (error)
+                {
+                    return;
+                }
+                if (signal == SIGHUP)
+                {
+                    reload("signal");
+                }
+                else
+                {
+                    begin_stop(signal);
+                }
+                wait_for_signal();
+            });
+    }
+
+    void begin_stop(int signal)
+    {
+        if (std::exchange(m_is_stopping, true))
+        {
+            return;
+        }
+        m_events.write("stop_begins", {{"signal", signal}});
+        boost::asio::post(
+            m_traffic_loop.m_io,
+            [this]
+            {
+                m_traffic.begin_stop(
+                    [this]
+                    {
+                        m_traffic.shut_down();
+                        boost::asio::post(
+                            m_control_loop.m_io,
+                            [this]
+                            {
+                                m_feed.stop();
+                                m_control_loop.m_io.stop();
+                            });
+                    });
+            });
+    }
+
+    void check_settings_later()
+    {
+        m_settings_timer.expires_after(settings_check_interval);
+        m_settings_timer.async_wait(
+            [this](boost::system::error_code error)
+            {
+                if (!error)
+                {
+                    reload("check");
+                    check_settings_later();
+                }
+            });
+    }
+
+    /// Applies what can change while the process runs.
+    void reload(std::string_view cause)
+    {
+        auto read = m_platform.m_read_settings();
+        if (auto const* problem = std::get_if<std::string>(&read))
+        {
+            m_events.write(
+                "reload_failed", {{"cause", cause}, {"reason", *problem}});
+            return;
+        }
+        auto& fresh = std::get<edge_settings>(read);
+        bool const is_same = fresh == m_options;
+        if (is_same && cause != "signal")
+        {
+            return;
+        }
+        auto const needs_restart = changes_that_need_restart(fresh);
+        m_events.write(
+            "reload",
+            {{"cause", cause},
+             {"changed", !is_same},
+             {"needs_restart", needs_restart}});
+        m_options.m_retries = fresh.m_retries;
+        m_options.m_drain_bound = fresh.m_drain_bound;
+        m_options.m_stop_grace = fresh.m_stop_grace;
+        boost::asio::post(
+            m_traffic_loop.m_io,
+            [this, fresh]
+            {
+                m_traffic.apply_settings(fresh);
+            });
+    }
+
+    /// Names of changed settings that a running process cannot apply.
+    [[nodiscard]] std::string
+    changes_that_need_restart(edge_settings const& fresh) const
+    {
+        std::string names;
+        auto const compare =
+            [&](std::string_view name, auto edge_settings::*member)
+        {
+            if (fresh.*member != m_options.*member)
+            {
+                names += names.empty() ? "" : ",";
+                names += name;
+            }
+        };
+        compare("listen", &edge_settings::m_listen);
+        compare("ready_listen", &edge_settings::m_ready_listen);
+        compare("peer_listen", &edge_settings::m_peer_listen);
+        compare("gossip_port", &edge_settings::m_gossip_port);
+        compare("store", &edge_settings::m_store);
+        compare("failure_domain", &edge_settings::m_failure_domain);
+        return names;
+    }
+
+    edge_settings m_options;
+    edge_platform const& m_platform;
+    metrics_registry m_metrics;
+    event_log m_events;
+    event_loop m_traffic_loop;
+    event_loop m_control_loop;
+    std::unique_ptr<fleet_store> m_store;
+
+    mailbox<feed_news> m_to_traffic{
+        m_traffic_loop.m_io,
+        ring_messages,
+        [this](feed_news&& news)
+        {
+            m_traffic.receive(std::move(news));
+        }};
+    mailbox<control_news> m_to_control{
+        m_control_loop.m_io,
+        ring_messages,
+        [this](control_news&& news)
+        {
+            if (auto const* duty = std::get_if<store_duty>(&news))
+            {
+                m_feed.set_duty(*duty);
+            }
+            else
+            {
+                m_feed.note_newer_peer(std::get<newer_peer>(news));
+            }
+        }};
+
+    edge_traffic m_traffic;
+    state_feed m_feed;
+    status_server m_ready_server;
+    std::unique_ptr<status_server> m_metrics_server;
+    boost::asio::signal_set m_signals;
+    timer m_settings_timer{m_control_loop.m_io};
+    bool m_is_stopping = false;
+};
+
+} // namespace
+
+int run_edge_process(
+    edge_settings const& options, edge_platform const& platform)
+{
+    // A caller or peer that closes early must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    start_event_logging(options.m_log_level);
+    int code = 0;
+    try
+    {
+        edge_process process{options, platform};
+        process.run();
+    }
+    catch (boost::system::system_error const& error)
+    {
+        event_log{options.m_vm}.write(
+            "start_failed", {{"error", error.what()}});
+        code = exit_start_failed;
+    }
+    stop_logging();
+    return code;
+}
+
+} // namespace briarhub
--- /dev/null
+++ b/src/edge_session.cpp
@@ -0,0 +1,559 @@
+#include "edge_session.hpp"
+
+#include "answer.hpp"
+#include "edge_attempts.hpp"
+#include "edge_filters.hpp"
+#include "http_guard.hpp"
+#include "socket_options.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <exception>
+#include <utility>
+
+namespace briarhub
+{
+namespace
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+
+constexpr std::size_t read_chunk_bytes = 16 * 1024;
+
+/// A caller that takes nothing of an answer for so long is cut off.
+constexpr std::chrono::seconds write_timeout{10};
+
+/// A body may arrive this much slower than a head.
+constexpr int body_time_factor = 10;
+
+/// After the last answer, unread input is discarded for this long. Closing
+/// at once would reset the connection and could destroy the answer.
+constexpr std::chrono::seconds linger_timeout{1};
+
+constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr std::string_view last_chunk = "0\r\n\r\n";
+
+std::string_view to_view(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+result_code parse_error_code(error_code const& error)
+{
+    if (error == http::error::body_limit)
+    {
+        return result_code::body_too_large;
+    }
+    return result_code::malformed_request;
+}
+
+caller_limits limits_of(edge_state const& state)
+{
+    auto const policy = state.policy();
+    return policy ? policy->policy().m_limits : caller_limits{};
+}
+
+/// Counts a request as running while the scope lives.
+class running_scope
+{
+public:
+    explicit running_scope(edge_state& state) : m_state(state)
+    {
+        ++m_state.m_running;
+    }
+    ~running_scope()
+    {
+        --m_state.m_running;
+    }
+    running_scope(running_scope const&) = delete;
+    running_scope& operator=(running_scope const&) = delete;
+
+private:
+    edge_state& m_state;
+};
+
+} // namespace
+
+edge_response make_edge_refusal(refusal const& reason)
+{
+    auto response = make_refusal(reason);
+    if (reason.m_retry_after)
+    {
+        std::chrono::duration<double> const wait = *reason.m_retry_after;
+        response.set(
+            http::field::retry_after, fmt::format("{:.3f}", wait.count()));
+    }
+    return response;
+}
+
+edge_session::edge_session(
+    asio::ip::tcp::socket socket, std::shared_ptr<edge_state> state)
+    : m_socket(std::move(socket)), m_state(std::move(state)),
+      m_timer(m_state->m_io)
+{
+    set_silence_limits(m_socket);
+}
+
+void edge_session::start()
+{
+    asio::co_spawn(
+        m_state->m_io,
+        [](std::shared_ptr<edge_session> self) -> asio::awaitable<void>
+        {
+            co_await self->serve();
+        }(shared_from_this()),
+        asio::detached);
+}
+
+void edge_session::close_if_idle()
+{
+    m_close_requested = true;
+    if (m_is_idle && m_input.empty())
+    {
+        error_code ignored;
+        m_socket.cancel(ignored);
+    }
+}
+
+void edge_session::abort()
+{
+    error_code ignored;
+    m_socket.close(ignored);
+    m_caller.leave();
+}
+
+asio::awaitable<void> edge_session::serve()
+{
+    try
+    {
+        bool is_open = true;
+        while (is_open)
+        {
+            is_open = co_await serve_one();
+        }
+        if (m_socket.is_open())
+        {
+            co_await close_gracefully();
+        }
+    }
+    catch (std::exception const& error)
+    {
+        m_state->m_events.write("session_failed", {{"error", error.what()}});
+    }
+    abort();
+}
+
+asio::awaitable<bool> edge_session::serve_one()
+{
+    auto outcome = co_await read_request();
+    if (auto const* none = std::get_if<no_request>(&outcome))
+    {
+        if (none->m_code)
+        {
+            m_keep_open = false;
+            edge_request unread;
+            co_await reply(unread, refusal{*none->m_code, std::nullopt});
+        }
+        co_return false;
+    }
+    auto& request = std::get<edge_request>(outcome);
+    request.m_caller = &m_caller;
+    running_scope const running{*m_state};
+    watch_caller();
+    auto result = co_await run(request);
+    end_watch();
+    bool const is_written = co_await reply(request, std::move(result));
+    co_return is_written&& m_keep_open;
+}
+
+asio::awaitable<edge_reply> edge_session::run(edge_request& request)
+{
+    if (auto ended = run_edge_filters(*m_state, request))
+    {
+        co_return std::move(*ended);
+    }
+    auto const stream = make_stream();
+    co_return co_await run_attempts(*m_state, request, stream);
+}
+
+answer_stream edge_session::make_stream()
+{
+    answer_stream stream;
+    stream.m_on_head = [this](
+                           http::response_header<> const& head,
+                           std::optional<std::uint64_t> length)
+    {
+        return write_stream_head(head, length);
+    };
+    stream.m_on_data = [this](std::string_view data)
+    {
+        return write_stream_data(data);
+    };
+    return stream;
+}
+
+asio::awaitable<edge_session::read_outcome> edge_session::read_request()
+{
+    auto const limits = limits_of(*m_state);
+    m_is_idle = m_input.empty();
+    arm(m_input.empty() ? duration{limits.m_idle_timeout}
+                        : duration{limits.m_head_timeout});
+    head_scan scan = scan_head(m_input);
+    while (scan.m_length == 0 && scan.m_code == result_code::ok)
+    {
+        bool const was_empty = m_input.empty();
+        if (!co_await read_more())
+        {
+            bool const is_late = m_is_timed_out && !m_input.empty();
+            disarm();
+            co_return no_request{
+                is_late ? std::optional{result_code::caller_too_slow}
+                        : std::nullopt};
+        }
+        if (was_empty)
+        {
+            m_is_idle = false;
+            arm(limits.m_head_timeout);
+        }
+        scan = scan_head(m_input);
+    }
+    m_is_idle = false;
+    if (scan.m_code == result_code::ok)
+    {
+        scan.m_code = check_raw_head({m_input.data(), scan.m_length});
+    }
+    if (scan.m_code != result_code::ok)
+    {
+        co_return no_request{scan.m_code};
+    }
+    request_parser parser;
+    parser.header_limit(max_head_bytes);
+    parser.body_limit(limits.m_body_bytes);
+    error_code error;
+    parser.put(asio::buffer(m_input.data(), scan.m_length), error);
+    if ((error && error != http::error::need_more) || !parser.is_header_done())
+    {
+        co_return no_request{
+            error ? parse_error_code(error) : result_code::malformed_request};
+    }
+    m_input.erase(0, scan.m_length);
+    auto const code = check_head(parser.get().base());
+    if (code != result_code::ok)
+    {
+        co_return no_request{code};
+    }
+    arm(limits.m_head_timeout * body_time_factor);
+    auto const incomplete = co_await read_body(parser);
+    disarm();
+    if (incomplete)
+    {
+        co_return no_request{
+            *incomplete == result_code::ok ? std::nullopt : incomplete};
+    }
+    m_keep_open = parser.get().keep_alive();
+    edge_request request;
+    request.m_head = parser.get().base();
+    request.m_body = std::move(parser.get().body());
+    request.m_id = to_view(request.m_head[m_state->m_names.m_request_id]);
+    request.m_received = runtime_clock::now();
+    co_return request;
+}
+
+/// Nothing when the body is there; `ok` when the caller left.
+asio::awaitable<std::optional<result_code>>
+edge_session::read_body(request_parser& parser)
+{
+    parser.eager(true);
+    bool const is_expected =
+        !parser.get()[http::field::expect].empty() && !parser.is_done();
+    if (is_expected && m_input.empty())
+    {
+        co_await asio::async_write(
+            m_socket, asio::buffer(continue_response), use_tuple);
+    }
+    while (!parser.is_done())
+    {
+        error_code error;
+        std::size_t const used = parser.put(asio::buffer(m_input), error);
+        m_input.erase(0, used);
+        if (error && error != http::error::need_more)
+        {
+            co_return parse_error_code(error);
+        }
+        if (parser.is_done())
+        {
+            break;
+        }
+        if (!co_await read_more())
+        {
+            co_return m_is_timed_out ? result_code::caller_too_slow
+                                     : result_code::ok;
+        }
+    }
+    co_return std::nullopt;
+}
+
+/// Appends input; false at the end of the connection or the time limit.
+asio::awaitable<bool> edge_session::read_more()
+{
+    if (m_close_requested && m_is_idle && m_input.empty())
+    {
+        co_return false;
+    }
+    std::array<char, read_chunk_bytes> chunk;
+    auto [error, bytes] =
+        co_await m_socket.async_read_some(asio::buffer(chunk), use_tuple);
+    if (error)
+    {
+        co_return false;
+    }
+    m_input.append(chunk.data(), bytes);
+    co_return true;
+}
+
+/// Notices a caller that leaves while its request runs.
+void edge_session::watch_caller()
+{
+    m_socket.async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [weak = weak_from_this()](error_code error)
+        {
+            auto const self = weak.lock();
+            if (error || !self)
+            {
+                return;
+            }
+            char byte = 0;
+            error_code peeked;
+            self->m_socket.non_blocking(true, peeked);
+            auto const bytes = self->m_socket.receive(
+                asio::buffer(&byte, 1),
+                asio::socket_base::message_peek,
+                peeked);
+            bool const is_gone = (!peeked && bytes == 0) ||
+                                 (peeked && peeked != asio::error::would_block);
+            if (is_gone)
+            {
+                self->m_caller.leave();
+            }
+        });
+}
+
+void edge_session::end_watch()
+{
+    error_code ignored;
+    m_socket.cancel(ignored);
+}
+
+asio::awaitable<bool>
+edge_session::reply(edge_request& request, edge_reply&& result)
+{
+    if (auto* response = std::get_if<edge_response>(&result))
+    {
+        record(request, response->result_int());
+        co_return co_await write_response(request, std::move(*response));
+    }
+    if (auto const* reason = std::get_if<refusal>(&result))
+    {
+        auto const& info = describe(reason->m_code);
+        if (request.m_outcome == "refused" || request.m_outcome.empty())
+        {
+            request.m_outcome = info.m_name;
+        }
+        m_state->count_refusal(
+            reason->m_code, request.m_route ? request.m_route->m_name : "");
+        record(request, info.m_http_status);
+        co_return co_await write_response(request, make_edge_refusal(*reason));
+    }
+    if (std::holds_alternative<streamed_answer>(result))
+    {
+        record(request, static_cast<unsigned>(http::status::ok));
+        co_return co_await end_stream();
+    }
+    record(request, 0);
+    abort();
+    co_return false;
+}
+
+asio::awaitable<bool> edge_session::write_response(
+    edge_request const& request, edge_response response)
+{
+    if (m_caller.is_gone())
+    {
+        co_return false;
+    }
+    m_keep_open = m_keep_open && !m_state->m_is_closing;
+    response.keep_alive(m_keep_open);
+    if (!request.m_id.empty())
+    {
+        response.set(m_state->m_names.m_request_id, request.m_id);
+    }
+    http::response_serializer<http::string_body> serializer{response};
+    bool const is_head = request.m_head.method() == http::verb::head;
+    serializer.split(is_head);
+    arm(write_timeout);
+    error_code failed;
+    if (is_head)
+    {
+        auto [error, bytes] =
+            co_await http::async_write_header(m_socket, serializer, use_tuple);
+        failed = error;
+    }
+    else
+    {
+        auto [error, bytes] =
+            co_await http::async_write(m_socket, serializer, use_tuple);
+        failed = error;
+    }
+    disarm();
+    if (failed && failed != http::error::end_of_stream)
+    {
+        abort();
+        co_return false;
+    }
+    co_return true;
+}
+
+asio::awaitable<bool> edge_session::write_stream_head(
+    http::response_header<> const& head, std::optional<std::uint64_t> length)
+{
+    http::response<http::empty_body> response{head};
+    response.erase(http::field::connection);
+    response.erase(http::field::keep_alive);
+    response.erase(http::field::transfer_encoding);
+    m_is_chunked = !length;
+    if (length)
+    {
+        response.set(http::field::content_length, std::to_string(*length));
+    }
+    else
+    {
+        response.chunked(true);
+    }
+    m_keep_open = m_keep_open && !m_state->m_is_closing;
+    response.keep_alive(m_keep_open);
+    http::response_serializer<http::empty_body> serializer{response};
+    arm(write_timeout);
+    auto [error, bytes] =
+        co_await http::async_write_header(m_socket, serializer, use_tuple);
+    disarm();
+    co_return !error;
+}
+
+asio::awaitable<bool> edge_session::write_stream_data(std::string_view data)
+{
+    std::string text;
+    if (m_is_chunked)
+    {
+        text = fmt::format("{:x}\r\n", data.size());
+        text += data;
+        text += "\r\n";
+        data = text;
+    }
+    arm(write_timeout);
+    auto [error, bytes] = co_await asio::async_write(
+        m_socket, asio::buffer(data.data(), data.size()), use_tuple);
+    disarm();
+    co_return !error;
+}
+
+asio::awaitable<bool> edge_session::end_stream()
+{
+    if (!std::exchange(m_is_chunked, false))
+    {
+        co_return true;
+    }
+    auto [error, bytes] = co_await asio::async_write(
+        m_socket, asio::buffer(last_chunk), use_tuple);
+    co_return !error;
+}
+
+/// Closes the sending side and discards what still arrives.
+asio::awaitable<void> edge_session::close_gracefully()
+{
+    error_code ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    m_is_idle = false;
+    arm(linger_timeout);
+    for (bool is_open = true; is_open;)
+    {
+        m_input.clear();
+        is_open = co_await read_more();
+    }
+    disarm();
+}
+
+/// Ends pending socket operations after the timeout.
+void edge_session::arm(duration timeout)
+{
+    m_is_timed_out = false;
+    auto const use = ++m_timer_use;
+    m_timer.expires_after(timeout);
+    m_timer.async_wait(
+        [weak = weak_from_this(), use](error_code error)
+        {
+            auto const self = weak.lock();
+            if (!error && self && self->m_timer_use == use)
+            {
+                self->m_is_timed_out = true;
+                error_code ignored;
+                self->m_socket.cancel(ignored);
+            }
+        });
+}
+
+void edge_session::disarm()
+{
+    ++m_timer_use;
+    m_timer.cancel();
+}
+
+void edge_session::record(edge_request const& request, unsigned status)
+{
+    auto const took = runtime_clock::now() - request.m_received;
+    bool const is_known = request.m_received != time_point{};
+    std::string const route =
+        request.m_route ? request.m_route->m_name : std::string{};
+    if (is_known)
+    {
+        m_state->m_metrics
+            .get_histogram(
+                "briarhub_request_seconds",
+                {{"route", route}, {"outcome", std::string{request.m_outcome}}})
+            .record(took);
+    }
+    boost::json::object line{
+        {"request", request.m_id},
+        {"route", route},
+        {"account", request.m_account},
+        {"service", request.m_service},
+        {"outcome", request.m_outcome},
+        {"status", status},
+        {"policy", request.m_policy ? request.m_policy->policy().m_version : 0},
+        {"attempts", request.m_attempts}};
+    if (is_known)
+    {
+        line["took_ms"] =
+            std::chrono::floor<std::chrono::milliseconds>(took).count();
+    }
+    m_state->m_events.write("request", line);
+}
+
+} // namespace briarhub
--- /dev/null
+++ b/src/edge_session.hpp
@@ -0,0 +1,95 @@
+#ifndef BRIARHUB_EDGE_SESSION_HPP
+#define BRIARHUB_EDGE_SESSION_HPP
+
+/// One caller connection of an edge process: reads requests, runs them in
+/// order, writes answers.
+
+#include "edge_request.hpp"
+#include "edge_state.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace briarhub
+{
+
+class edge_session : public std::enable_shared_from_this<edge_session>
+{
+public:
+    edge_session(
+        boost::asio::ip::tcp::socket socket, std::shared_ptr<edge_state> state);
+
+    /// Serves requests until either side closes the connection.
+    void start();
+
+    /// Closes the connection if it waits for a request.
+    void close_if_idle();
+
+    /// Closes the connection at once.
+    void abort();
+
+private:
+    using request_parser =
+        boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    /// Why no request came.
+    struct no_request
+    {
+        /// Nullopt: the connection is closed without an answer.
+        std::optional<result_code> m_code;
+    };
+
+    using read_outcome = std::variant<edge_request, no_request>;
+
+    boost::asio::awaitable<void> serve();
+    boost::asio::awaitable<bool> serve_one();
+    boost::asio::awaitable<read_outcome> read_request();
+    boost::asio::awaitable<std::optional<result_code>>
+    read_body(request_parser& parser);
+    boost::asio::awaitable<bool> read_more();
+    boost::asio::awaitable<edge_reply> run(edge_request& request);
+    boost::asio::awaitable<bool>
+    reply(edge_request& request, edge_reply&& result);
+    boost::asio::awaitable<bool>
+    write_response(edge_request const& request, edge_response response);
+    boost::asio::awaitable<bool> write_stream_head(
+        boost::beast::http::response_header<> const& head,
+        std::optional<std::uint64_t> length);
+    boost::asio::awaitable<bool> write_stream_data(std::string_view data);
+    boost::asio::awaitable<bool> end_stream();
+    boost::asio::awaitable<void> close_gracefully();
+    [[nodiscard]] answer_stream make_stream();
+    void watch_caller();
+    void end_watch();
+    void arm(duration timeout);
+    void disarm();
+    void record(edge_request const& request, unsigned status);
+
+    boost::asio::ip::tcp::socket m_socket;
+    std::shared_ptr<edge_state> m_state;
+    caller_presence m_caller;
+    std::string m_input;
+    timer m_timer;
+    std::uint64_t m_timer_use = 0;
+    bool m_is_idle = false;
+    bool m_is_timed_out = false;
+    bool m_keep_open = true;
+    bool m_is_chunked = false;
+    bool m_close_requested = false;
+};
+
+/// A refusal as a response, with the wait in seconds and fractions.
+edge_response make_edge_refusal(refusal const& reason);
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/edge_state.hpp
@@ -0,0 +1,91 @@
+#ifndef BRIARHUB_EDGE_STATE_HPP
+#define BRIARHUB_EDGE_STATE_HPP
+
+/// State of the traffic thread of an edge process: the policy in force, what
+/// is believed of upstreams, allowances, connections and counters.
+
+#include "edge_settings.hpp"
+#include "event_log.hpp"
+#include "fleet_caps.hpp"
+#include "header_names.hpp"
+#include "metrics.hpp"
+#include "policy_index.hpp"
+#include "request.hpp"
+#include "suspect_requests.hpp"
+#include "upstream_board.hpp"
+#include "upstream_exchange.hpp"
+#include "upstream_pool.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string_view>
+#include <vector>
+
+namespace briarhub
+{
+
+class edge_state
+{
+public:
+    edge_state(
+        boost::asio::io_context& io,
+        edge_settings const& options,
+        header_names const& names,
+        metrics_registry& metrics,
+        event_log& events);
+
+    /// A newer policy; an older one is ignored.
+    void set_policy(fleet_policy&& policy);
+
+    /// The upstreams that may get requests.
+    void set_upstreams(std::vector<upstream_entry>&& entries);
+
+    void apply_settings(edge_settings const& options);
+
+    /// Null until a policy is known. Requests keep the one they began with.
+    [[nodiscard]] std::shared_ptr<policy_index const> policy() const
+    {
+        return m_policy;
+    }
+
+    [[nodiscard]] bool is_ready() const
+    {
+        return m_policy != nullptr && m_has_upstreams && !m_is_stopping;
+    }
+
+    void count_refusal(result_code code, std::string_view route);
+    void count_retry(std::string_view reason);
+
+    boost::asio::io_context& m_io;
+    edge_settings m_options;
+    header_names const& m_names;
+    metrics_registry& m_metrics;
+    event_log& m_events;
+    std::mt19937_64 m_random;
+    upstream_board m_board;
+    fleet_caps m_caps;
+    suspect_requests m_suspects;
+    upstream_pool m_pool;
+    exchange_runner m_exchanges;
+
+    /// Called when there is news for the peers.
+    std::function<void()> m_on_news;
+
+    std::size_t m_running = 0; ///< requests that are being served
+    bool m_is_stopping = false;
+    /// Connections are closed after their current answer.
+    bool m_is_closing = false;
+
+private:
+    std::shared_ptr<policy_index const> m_policy;
+    bool m_has_upstreams = false;
+};
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/fleet_caps.cpp
@@ -0,0 +1,299 @@
+#include "fleet_caps.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace briarhub
+{
+namespace
+{
+
+using seconds = std::chrono::duration<double>;
+
+/// A part of the fleet that hears no other part may use this much more than
+/// its share; callers of silent VMs move to the others.
+constexpr double generous_share = 0.1;
+
+/// A VM that has just started does not know what its peers admitted.
+constexpr double initial_burst_share = 0.5;
+
+/// Peers' retries of the last moments are not known yet.
+constexpr double retry_safety = 0.8;
+
+constexpr std::chrono::milliseconds retry_cell_length{1000};
+
+/// A long count that is heard for the first time is history, not news.
+constexpr std::uint64_t most_at_first = 20;
+
+double to_seconds(duration value)
+{
+    return seconds(value).count();
+}
+
+} // namespace
+
+double fleet_view::share() const
+{
+    if (m_known == 0 || m_heard >= m_known)
+    {
+        return 1.0;
+    }
+    double const heard =
+        static_cast<double>(m_heard) / static_cast<double>(m_known);
+    return std::min(1.0, heard + generous_share);
+}
+
+account_bucket::account_bucket(time_point now, double rate, double burst)
+    : m_rate(rate), m_burst(burst), m_tokens(burst * initial_burst_share),
+      m_updated(now)
+{
+}
+
+void account_bucket::set_limits(time_point now, double rate, double burst)
+{
+    refill(now);
+    m_rate = rate;
+    m_burst = burst;
+    m_tokens = std::min(m_tokens, burst);
+}
+
+void account_bucket::set_share(time_point now, double share)
+{
+    refill(now);
+    m_share = share;
+}
+
+bool account_bucket::try_take(time_point now)
+{
+    if (m_rate <= 0.0)
+    {
+        return true;
+    }
+    refill(now);
+    if (m_tokens < 1.0)
+    {
+        return false;
+    }
+    m_tokens -= 1.0;
+    return true;
+}
+
+void account_bucket::take_remote(time_point now, double amount)
+{
+    refill(now);
+    m_tokens = std::max(m_tokens - amount, -m_burst);
+}
+
+duration account_bucket::wait(time_point now) const
+{
+    double const rate = m_rate * m_share;
+    if (rate <= 0.0)
+    {
+        return duration{};
+    }
+    double const tokens = m_tokens + to_seconds(now - m_updated) * rate;
+    auto const left = seconds(std::max(0.0, 1.0 - tokens) / rate);
+    return std::chrono::duration_cast<duration>(left);
+}
+
+void account_bucket::refill(time_point now)
+{
+    if (now <= m_updated)
+    {
+        return;
+    }
+    double const earned = to_seconds(now - m_updated) * m_rate * m_share;
+    m_tokens = std::min(m_burst, m_tokens + earned);
+    m_updated = now;
+}
+
+retry_window::cell& retry_window::cell_at(time_point now)
+{
+    std::int64_t const number = now.time_since_epoch() / retry_cell_length;
+    auto& found = m_cells[static_cast<std::size_t>(number) % cells];
+    if (found.m_number != number)
+    {
+        found = {number, 0.0, 0.0};
+    }
+    return found;
+}
+
+void retry_window::add_arrived(time_point now, double amount)
+{
+    cell_at(now).m_arrived += amount;
+}
+
+void retry_window::add_retried(time_point now, double amount)
+{
+    cell_at(now).m_retried += amount;
+}
+
+bool retry_window::may_retry(
+    time_point now, retry_bounds const& bounds, double share, duration age)
+{
+    auto const last = cell_at(now).m_number;
+    auto const first = last - bounds.m_window / retry_cell_length;
+    double arrived = 0.0;
+    double retried = 0.0;
+    for (auto const& each : m_cells)
+    {
+        if (each.m_number >= first)
+        {
+            arrived += each.m_arrived;
+            retried += each.m_retried;
+        }
+    }
+    double const listened =
+        std::min(1.0, to_seconds(age) / seconds(bounds.m_window).count());
+    double const budget =
+        bounds.m_ratio * arrived + bounds.m_extra * share * listened;
+    return retried + 1.0 <= retry_safety * budget;
+}
+
+fleet_caps::fleet_caps(time_point now, retry_bounds bounds)
+    : m_started(now), m_bounds(bounds)
+{
+}
+
+void fleet_caps::set_accounts(
+    time_point now, std::vector<account_policy> const& accounts)
+{
+    std::unordered_map<cap_tag, account_bucket> buckets;
+    for (auto const& account : accounts)
+    {
+        auto const tag = short_hash(account.m_name);
+        auto const known = m_accounts.find(tag);
+        if (known == m_accounts.end())
+        {
+            account_bucket fresh{now, account.m_rate, account.m_burst};
+            fresh.set_share(now, m_view.share());
+            buckets.emplace(tag, fresh);
+            continue;
+        }
+        known->second.set_limits(now, account.m_rate, account.m_burst);
+        buckets.emplace(tag, known->second);
+    }
+    m_accounts = std::move(buckets);
+}
+
+void fleet_caps::set_view(time_point now, fleet_view view)
+{
+    if (view == m_view)
+    {
+        return;
+    }
+    m_view = view;
+    for (auto& [tag, bucket] : m_accounts)
+    {
+        bucket.set_share(now, view.share());
+    }
+}
+
+bool fleet_caps::try_admit(time_point now, account_name const& account)
+{
+    auto const found = m_accounts.find(short_hash(account));
+    if (found != m_accounts.end() && !found->second.try_take(now))
+    {
+        return false;
+    }
+    count(usage_kind::admitted, account);
+    return true;
+}
+
+duration
+fleet_caps::admission_wait(time_point now, account_name const& account) const
+{
+    auto const found = m_accounts.find(short_hash(account));
+    return found == m_accounts.end() ? duration{} : found->second.wait(now);
+}
+
+void fleet_caps::note_arrival(time_point now, service_name const& service)
+{
+    count(usage_kind::arrived, service);
+    m_retries[short_hash(service)].add_arrived(now, 1.0);
+}
+
+bool fleet_caps::try_retry(time_point now, service_name const& service)
+{
+    auto& window = m_retries[short_hash(service)];
+    if (!window.may_retry(now, m_bounds, m_view.share(), now - m_started))
+    {
+        return false;
+    }
+    count(usage_kind::retried, service);
+    window.add_retried(now, 1.0);
+    return true;
+}
+
+void fleet_caps::count(usage_kind kind, std::string_view name)
+{
+    ++m_own[{kind, short_hash(name)}];
+}
+
+// The first message of a peer's run only sets the start of its counts: what
+// it used before is in the buckets of those that heard it.
+void fleet_caps::receive(
+    time_point now,
+    vm_tag from,
+    std::uint32_t run,
+    std::vector<usage_count> const& totals)
+{
+    auto& peer = m_peers[from];
+    bool const is_new_run = peer.m_run != run;
+    if (is_new_run)
+    {
+        peer.m_run = run;
+        peer.m_totals.clear();
+    }
+    for (auto const& total : totals)
+    {
+        count_key const key{total.m_kind, total.m_tag};
+        auto const [place, is_first] =
+            peer.m_totals.try_emplace(key, total.m_total);
+        std::uint64_t const known = is_first ? 0 : place->second;
+        std::uint64_t const fresh =
+            total.m_total > known ? total.m_total - known : 0;
+        place->second = std::max(place->second, total.m_total);
+        apply_remote(
+            now, key, is_first ? std::min(fresh, most_at_first) : fresh);
+    }
+}
+
+void fleet_caps::apply_remote(
+    time_point now, count_key const& key, std::uint64_t amount)
+{
+    auto const value = static_cast<double>(amount);
+    switch (key.first)
+    {
+    case usage_kind::admitted:
+        if (auto const found = m_accounts.find(key.second);
+            found != m_accounts.end())
+        {
+            found->second.take_remote(now, value);
+        }
+        return;
+    case usage_kind::arrived:
+        m_retries[key.second].add_arrived(now, value);
+        return;
+    case usage_kind::retried:
+        m_retries[key.second].add_retried(now, value);
+        return;
+    }
+}
+
+std::vector<usage_count> fleet_caps::take_totals(bool all)
+{
+    std::vector<usage_count> taken;
+    for (auto const& [key, total] : m_own)
+    {
+        auto& sent = m_sent[key];
+        if (all || sent != total)
+        {
+            sent = total;
+            taken.push_back({key.first, key.second, total});
+        }
+    }
+    return taken;
+}
+
+} // namespace briarhub
--- /dev/null
+++ b/src/fleet_policy.hpp
@@ -0,0 +1,93 @@
+#ifndef BRIARHUB_FLEET_POLICY_HPP
+#define BRIARHUB_FLEET_POLICY_HPP
+
+/// What the fleet serves: routes, services, client accounts and the limits on
+/// callers, as one version of the operator's configuration states them.
+
+#include "types.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace briarhub
+{
+
+/// One service of a route and its share of the route's requests.
+struct route_part
+{
+    service_name m_service;
+    double m_weight = 1.0; ///< relative to the other parts
+
+    friend bool operator==(route_part const&, route_part const&) = default;
+};
+
+/// Which requests a route takes and what their callers are promised.
+struct route_policy
+{
+    std::string m_name;
+    std::string m_host;        ///< without port, lower case
+    std::string m_path_prefix; ///< begins and ends with a slash
+    std::vector<route_part> m_parts;
+    bool m_is_idempotent = true; ///< false: runs at most once
+    std::chrono::milliseconds m_time_limit{0};
+    std::chrono::milliseconds m_latency_target{0};
+    unsigned m_priority = 0;     ///< 0 is served first
+    unsigned m_max_attempts = 1; ///< upstreams that may run one request
+    bool m_is_public = false;    ///< needs no caller's key
+
+    friend bool operator==(route_policy const&, route_policy const&) = default;
+};
+
+struct account_policy
+{
+    account_name m_name;
+    std::vector<std::string> m_key_digests; ///< lower-case hex SHA-256
+    std::optional<unsigned> m_priority;     ///< goes before the route's
+    double m_rate = 0.0;                    ///< requests/s; 0 is no limit
+    double m_burst = 0.0;                   ///< requests
+
+    friend bool
+    operator==(account_policy const&, account_policy const&) = default;
+};
+
+/// Bounds on what a caller may send and how long it may take.
+struct caller_limits
+{
+    std::size_t m_head_bytes = 16 * 1024;
+    std::size_t m_body_bytes = 64 * 1024 * 1024;
+    std::chrono::milliseconds m_head_timeout{3000};
+    std::chrono::milliseconds m_idle_timeout{15000};
+
+    friend bool
+    operator==(caller_limits const&, caller_limits const&) = default;
+};
+
+struct fleet_policy
+{
+    config_version m_version = 0;
+    std::vector<route_policy> m_routes;
+    std::vector<service_name> m_services;
+    std::vector<account_policy> m_accounts;
+    caller_limits m_limits;
+
+    friend bool operator==(fleet_policy const&, fleet_policy const&) = default;
+};
+
+/// An upstream as it announced itself.
+struct upstream_entry
+{
+    upstream m_upstream;
+    std::uint64_t m_born = 0;     ///< start of its process, Unix milliseconds
+    std::uint64_t m_sequence = 0; ///< of its announcements since its start
+    std::chrono::milliseconds m_warm_up_left{0};
+
+    friend bool
+    operator==(upstream_entry const&, upstream_entry const&) = default;
+};
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/gossip_message.cpp
@@ -0,0 +1,169 @@
+#include "gossip_message.hpp"
+
+#include "gossip.pb.h"
+
+#include <algorithm>
+
+namespace briarhub
+{
+namespace
+{
+
+/// Counts in one datagram; far above what a VM sees between two of them.
+constexpr std::uint32_t max_sign_count = 1000;
+
+constexpr auto last_usage_kind =
+    static_cast<std::uint32_t>(usage_kind::retried);
+
+void write(wire::Gossip& to, upstream_news const& from)
+{
+    auto& added = *to.add_upstreams();
+    added.set_upstream(from.m_upstream);
+    added.set_in_flight(from.m_in_flight);
+    bool const has_signs = std::ranges::any_of(
+        from.m_signs,
+        [](std::uint32_t count)
+        {
+            return count > 0;
+        });
+    if (has_signs)
+    {
+        added.mutable_signs()->Add(from.m_signs.begin(), from.m_signs.end());
+    }
+}
+
+std::optional<upstream_news> read(wire::UpstreamNews const& from)
+{
+    upstream_news news{from.upstream(), from.in_flight(), {}};
+    if (from.signs_size() > static_cast<int>(sign_count))
+    {
+        return std::nullopt;
+    }
+    for (int i = 0; i < from.signs_size(); ++i)
+    {
+        news.m_signs[static_cast<std::size_t>(i)] =
+            std::min(from.signs(i), max_sign_count);
+    }
+    return news;
+}
+
+void write(wire::Gossip& to, usage_count const& from)
+{
+    auto& added = *to.add_usage();
+    added.set_kind(static_cast<std::uint32_t>(from.m_kind));
+    added.set_tag(from.m_tag);
+    added.set_total(from.m_total);
+}
+
+std::optional<usage_count> read(wire::UsageCount const& from)
+{
+    if (from.kind() > last_usage_kind)
+    {
+        return std::nullopt;
+    }
+    return usage_count{
+        static_cast<usage_kind>(from.kind()), from.tag(), from.total()};
+}
+
+void write_lists(wire::Gossip& to, gossip_message const& from)
+{
+    for (auto const& news : from.m_upstreams)
+    {
+        write(to, news);
+    }
+    for (auto const& usage : from.m_usage)
+    {
+        write(to, usage);
+    }
+    for (auto const& suspect : from.m_suspects)
+    {
+        auto& added = *to.add_suspects();
+        added.set_digest(suspect.m_digest);
+        added.set_crashes(suspect.m_crashes);
+    }
+    for (auto const& member : from.m_members)
+    {
+        auto& added = *to.add_members();
+        added.set_vm(member.m_vm);
+        added.set_domain(member.m_domain);
+    }
+}
+
+bool read_lists(wire::Gossip const& from, gossip_message& to)
+{
+    for (auto const& item : from.upstreams())
+    {
+        auto const news = read(item);
+        if (!news)
+        {
+            return false;
+        }
+        to.m_upstreams.push_back(*news);
+    }
+    for (auto const& item : from.usage())
+    {
+        auto const usage = read(item);
+        if (!usage)
+        {
+            return false;
+        }
+        to.m_usage.push_back(*usage);
+    }
+    for (auto const& item : from.suspects())
+    {
+        to.m_suspects.push_back({item.digest(), item.crashes()});
+    }
+    for (auto const& item : from.members())
+    {
+        to.m_members.push_back({item.vm(), item.domain()});
+    }
+    return true;
+}
+
+} // namespace
+
+std::string encode(gossip_message const& message)
+{
+    wire::Gossip to;
+    to.set_vm(message.m_origin.m_vm);
+    to.set_domain(message.m_origin.m_domain);
+    to.set_run(message.m_run);
+    to.set_sequence(message.m_sequence);
+    to.set_pass_on(message.m_pass_on);
+    to.set_policy_version(message.m_state.m_policy_version);
+    to.set_directory_change(message.m_state.m_directory_change);
+    to.set_is_following(message.m_state.m_is_following);
+    to.set_has_store(message.m_state.m_has_store);
+    to.set_is_leaving(message.m_is_leaving);
+    to.set_wants_members(message.m_wants_members);
+    write_lists(to, message);
+    return to.SerializeAsString();
+}
+
+std::optional<gossip_message> decode_gossip(std::string_view bytes)
+{
+    wire::Gossip from;
+    if (!from.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
+        from.vm() == 0)
+    {
+        return std::nullopt;
+    }
+    gossip_message message;
+    message.m_origin = {from.vm(), from.domain()};
+    message.m_run = from.run();
+    message.m_sequence = from.sequence();
+    message.m_pass_on = from.pass_on();
+    message.m_state.m_policy_version = from.policy_version();
+    message.m_state.m_directory_change = from.directory_change();
+    message.m_state.m_is_following = from.is_following();
+    message.m_state.m_has_store = from.has_store();
+    message.m_is_leaving = from.is_leaving();
+    message.m_wants_members = from.wants_members();
+    if (!read_lists(from, message))
+    {
+        return std::nullopt;
+    }
+    return message;
+}
+
+} // namespace briarhub
--- /dev/null
+++ b/src/gossip_message.hpp
@@ -0,0 +1,64 @@
+#ifndef BRIARHUB_GOSSIP_MESSAGE_HPP
+#define BRIARHUB_GOSSIP_MESSAGE_HPP
+
+/// Datagrams between entry processes and their encoding.
+
+#include "fleet_caps.hpp"
+#include "tags.hpp"
+#include "types.hpp"
+#include "upstream_board.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace briarhub
+{
+
+struct peer_address
+{
+    vm_tag m_vm = 0;
+    domain_tag m_domain = 0;
+
+    friend bool operator==(peer_address const&, peer_address const&) = default;
+};
+
+/// What a VM holds of the state that lies in the platform's store.
+struct held_state
+{
+    config_version m_policy_version = 0;
+    log_offset m_directory_change = 0; ///< the last change that it knows
+    bool m_is_following = false;       ///< reads the directory from the store
+    bool m_has_store = false;
+
+    friend bool operator==(held_state const&, held_state const&) = default;
+};
+
+struct gossip_message
+{
+    peer_address m_origin;
+    std::uint32_t m_run = 0;
+    std::uint64_t m_sequence = 0;
+    bool m_pass_on = false; ///< send on inside the receiver's failure domain
+    std::vector<upstream_news> m_upstreams;
+    std::vector<usage_count> m_usage;
+    std::vector<suspect_request> m_suspects;
+    held_state m_state;
+    bool m_is_leaving = false;
+    bool m_wants_members = false;
+    std::vector<peer_address> m_members;
+
+    friend bool
+    operator==(gossip_message const&, gossip_message const&) = default;
+};
+
+std::string encode(gossip_message const& message);
+
+/// Nullopt for bytes that are no such message.
+std::optional<gossip_message> decode_gossip(std::string_view bytes);
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/gossip_service.cpp
@@ -0,0 +1,383 @@
+#include "gossip_service.hpp"
+
+#include "parse_number.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <array>
+#include <random>
+#include <utility>
+
+namespace briarhub
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using boost::system::error_code;
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+
+/// News waits this long for more: a fraction of the time that an upstream
+/// works on a request.
+constexpr std::chrono::milliseconds flush_delay{15};
+
+constexpr std::chrono::milliseconds heartbeat_interval{500};
+
+/// Without word from a VM that reads the store, this VM reads it itself. Two
+/// heartbeats may be lost; what is left of the drain bound suffices for a
+/// read.
+constexpr std::chrono::milliseconds feed_limit{1200};
+
+/// A process that has just started leaves the reading to others, if there are
+/// any.
+constexpr std::chrono::milliseconds min_following_age{1500};
+
+/// Members in one datagram; it stays below the usual packet size.
+constexpr std::size_t max_members_told = 100;
+
+constexpr std::size_t max_datagram_bytes = 64 * 1024;
+
+/// Heartbeats of a new process that ask for the members.
+constexpr unsigned asking_heartbeats = 4;
+
+std::uint32_t random_run()
+{
+    std::random_device source;
+    return source() | 1U;
+}
+
+vm_tag tag_of_ip(std::string const& ip)
+{
+    error_code error;
+    auto const address = asio::ip::make_address_v4(ip, error);
+    return error ? 0 : address.to_uint();
+}
+
+peer_address own_address(edge_settings const& options)
+{
+    return {tag_of_ip(options.m_ip), short_hash(options.m_failure_domain)};
+}
+
+} // namespace
+
+gossip_service::gossip_service(
+    asio::io_context& io,
+    std::shared_ptr<edge_state> state,
+    duty_handler on_duty,
+    newer_handler on_newer)
+    : m_io(io), m_state(std::move(state)), m_on_duty(std::move(on_duty)),
+      m_on_newer(std::move(on_newer)),
+      m_peers(own_address(m_state->m_options), m_state->m_random()),
+      m_socket(
+          io,
+          udp::endpoint{
+              asio::ip::make_address(m_state->m_options.m_ip),
+              m_state->m_options.m_gossip_port}),
+      m_flush_timer(io), m_heartbeat_timer(io), m_run(random_run()),
+      m_sent_bytes(
+          m_state->m_metrics.get_counter("briarhub_gossip_sent_bytes_total")),
+      m_received_bytes(m_state->m_metrics.get_counter(
+          "briarhub_gossip_received_bytes_total")),
+      m_malformed(
+          m_state->m_metrics.get_counter("briarhub_gossip_malformed_total"))
+{
+    m_socket.non_blocking(true);
+}
+
+void gossip_service::start()
+{
+    m_started = runtime_clock::now();
+    find_seeds();
+    asio::co_spawn(
+        m_io,
+        [](std::shared_ptr<gossip_service> self) -> asio::awaitable<void>
+        {
+            co_await self->receive_loop();
+        }(shared_from_this()),
+        asio::detached);
+    asio::co_spawn(
+        m_io,
+        [](std::shared_ptr<gossip_service> self) -> asio::awaitable<void>
+        {
+            co_await self->heartbeat_loop();
+        }(shared_from_this()),
+        asio::detached);
+}
+
+/// Seeds of unknown failure domains are asked directly until they answer.
+void gossip_service::find_seeds()
+{
+    auto message = make_message();
+    message.m_wants_members = true;
+    auto const bytes = encode(message);
+    for (auto const& seed : m_state->m_options.m_seeds)
+    {
+        if (auto const endpoint = split_endpoint(seed))
+        {
+            send(tag_of_ip(endpoint->m_ip), bytes);
+        }
+    }
+}
+
+asio::awaitable<void> gossip_service::receive_loop()
+{
+    std::vector<char> buffer(max_datagram_bytes);
+    while (!m_is_stopped)
+    {
+        udp::endpoint from;
+        auto [error, bytes] = co_await m_socket.async_receive_from(
+            asio::buffer(buffer), from, use_tuple);
+        if (error == asio::error::operation_aborted)
+        {
+            co_return;
+        }
+        if (!error)
+        {
+            m_received_bytes.add(bytes);
+            receive({buffer.data(), bytes});
+        }
+    }
+}
+
+void gossip_service::receive(std::string_view bytes)
+{
+    auto message = decode_gossip(bytes);
+    if (!message)
+    {
+        m_malformed.add();
+        return;
+    }
+    if (message->m_origin.m_vm == m_peers.self().m_vm)
+    {
+        return;
+    }
+    auto const now = runtime_clock::now();
+    bool const is_newest = m_peers.hear(now, *message);
+    take(now, *message, is_newest);
+    if (message->m_wants_members)
+    {
+        answer_newcomer(*message);
+    }
+    if (message->m_pass_on)
+    {
+        pass_on(std::move(*message));
+    }
+}
+
+void gossip_service::take(
+    time_point now, gossip_message const& message, bool is_newest)
+{
+    m_state->m_board.receive(
+        now, message.m_origin.m_vm, message.m_sequence, message.m_upstreams);
+    m_state->m_caps.receive(
+        now, message.m_origin.m_vm, message.m_run, message.m_usage);
+    m_state->m_suspects.receive(now, message.m_suspects);
+    for (auto const& member : message.m_members)
+    {
+        m_peers.add(now, member);
+    }
+    auto const& state = message.m_state;
+    if (state.m_is_following && is_newest)
+    {
+        m_last_feed = now;
+    }
+    bool const is_ahead =
+        state.m_policy_version > m_held.m_policy_version ||
+        (state.m_is_following &&
+         state.m_directory_change > m_held.m_directory_change);
+    if (is_ahead)
+    {
+        bool const is_near =
+            message.m_origin.m_domain == m_peers.self().m_domain;
+        m_on_newer({message.m_origin.m_vm, is_near, state});
+    }
+}
+
+void gossip_service::pass_on(gossip_message message)
+{
+    message.m_pass_on = false;
+    auto const bytes = encode(message);
+    for (auto const vm : m_peers.neighbours())
+    {
+        send(vm, bytes);
+    }
+}
+
+/// Gives a new process the members and all that this VM has in use.
+void gossip_service::answer_newcomer(gossip_message const& message)
+{
+    auto reply = make_message();
+    auto members = m_peers.members();
+    if (members.size() > max_members_told)
+    {
+        members.resize(max_members_told);
+    }
+    reply.m_members = std::move(members);
+    send(message.m_origin.m_vm, encode(reply));
+}
+
+asio::awaitable<void> gossip_service::heartbeat_loop()
+{
+    while (!m_is_stopped)
+    {
+        auto const now = runtime_clock::now();
+        m_peers.forget_silent(now);
+        m_state->m_caps.set_view(now, m_peers.view(now));
+        m_state->m_pool.close_expired(now);
+        update_duty(now);
+        auto message = make_message();
+        message.m_upstreams = m_state->m_board.take_news(true);
+        message.m_usage = m_state->m_caps.take_totals(true);
+        message.m_suspects = m_state->m_suspects.take_news(now);
+        if (m_heartbeats < asking_heartbeats)
+        {
+            ++m_heartbeats;
+            message.m_wants_members = true;
+            find_seeds();
+        }
+        send_all(message);
+        m_heartbeat_timer.expires_after(heartbeat_interval);
+        co_await m_heartbeat_timer.async_wait(use_tuple);
+    }
+}
+
+void gossip_service::update_duty(time_point now)
+{
+    auto const view = m_peers.view(now);
+    m_state->m_metrics.get_gauge("briarhub_peers_heard")
+        .set(static_cast<double>(view.m_heard));
+    m_state->m_metrics.get_gauge("briarhub_peers_known")
+        .set(static_cast<double>(view.m_known));
+    bool const is_fed = now - m_last_feed < feed_limit;
+    store_duty const duty{m_peers.should_follow(now) || !is_fed, is_fed};
+    if (duty == m_duty)
+    {
+        return;
+    }
+    m_duty = duty;
+    m_state->m_events.write(
+        "store_duty",
+        {{"reads", duty.m_reads},
+         {"fed", is_fed},
+         {"peers_heard", view.m_heard},
+         {"peers_known", view.m_known}});
+    m_on_duty(duty);
+}
+
+void gossip_service::schedule_flush()
+{
+    if (m_is_flush_due || m_is_stopped)
+    {
+        return;
+    }
+    m_is_flush_due = true;
+    m_flush_timer.expires_after(flush_delay);
+    m_flush_timer.async_wait(
+        [weak = weak_from_this()](error_code error)
+        {
+            auto const self = weak.lock();
+            if (!error && self)
+            {
+                self->flush();
+            }
+        });
+}
+
+void gossip_service::flush()
+{
+    m_is_flush_due = false;
+    auto message = make_message();
+    message.m_upstreams = m_state->m_board.take_news(false);
+    message.m_usage = m_state->m_caps.take_totals(false);
+    message.m_suspects = m_state->m_suspects.take_news(runtime_clock::now());
+    send_all(message);
+}
+
+void gossip_service::set_held_state(held_state const& state)
+{
+    bool const is_news = state.m_policy_version != m_held.m_policy_version ||
+                         state.m_directory_change != m_held.m_directory_change;
+    m_held = state;
+    if (is_news)
+    {
+        flush();
+    }
+}
+
+void gossip_service::add_members(std::vector<peer_address> const& members)
+{
+    auto const now = runtime_clock::now();
+    for (auto const& member : members)
+    {
+        m_peers.add(now, member);
+    }
+}
+
+void gossip_service::leave()
+{
+    auto message = make_message();
+    message.m_is_leaving = true;
+    message.m_upstreams = m_state->m_board.take_news(true);
+    message.m_usage = m_state->m_caps.take_totals(true);
+    send_all(message);
+}
+
+void gossip_service::stop()
+{
+    m_is_stopped = true;
+    m_heartbeat_timer.cancel();
+    m_flush_timer.cancel();
+    error_code ignored;
+    m_socket.close(ignored);
+}
+
+gossip_message gossip_service::make_message()
+{
+    gossip_message message;
+    message.m_origin = m_peers.self();
+    message.m_run = m_run;
+    message.m_sequence = ++m_sequence;
+    message.m_state = m_held;
+    // A new process has no journal of changes yet.
+    message.m_state.m_is_following =
+        m_held.m_is_following && m_duty.m_reads &&
+        runtime_clock::now() - m_started >= min_following_age;
+    return message;
+}
+
+void gossip_service::send_all(gossip_message const& message)
+{
+    std::string const near = encode(message);
+    auto relayed = message;
+    relayed.m_pass_on = true;
+    std::string const far = encode(relayed);
+    for (auto const& to : m_peers.destinations(runtime_clock::now()))
+    {
+        send(to.m_vm, to.m_pass_on ? far : near);
+    }
+}
+
+/// A datagram that cannot be sent is lost like any other.
+void gossip_service::send(vm_tag to, std::string const& bytes)
+{
+    if (to == 0 || to == m_peers.self().m_vm || !m_socket.is_open())
+    {
+        return;
+    }
+    error_code error;
+    udp::endpoint const endpoint{
+        asio::ip::address_v4{to}, m_state->m_options.m_gossip_port};
+    auto const sent = m_socket.send_to(asio::buffer(bytes), endpoint, 0, error);
+    if (!error)
+    {
+        m_sent_bytes.add(sent);
+    }
+}
+
+} // namespace briarhub
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <iterator>
 
@@ -122,8 +123,67 @@
         values.m_max.count());
 }
 
+void append_histogram(
+    std::string& text,
+    std::string const& name,
+    std::string const& labels,
+    latency_histogram::values const& values)
+{
+    std::string const separator = labels.empty() ? "" : ",";
+    std::uint64_t total = 0;
+    for (std::size_t i = 0; i < values.m_counts.size(); ++i)
+    {
+        total += values.m_counts[i];
+        bool const is_last = i == latency_histogram::bucket_count;
+        fmt::format_to(
+            std::back_inserter(text),
+            "{}_bucket{{{}{}le=\"{}\"}} {}\n",
+            name,
+            labels,
+            separator,
+            is_last ? "+Inf" : fmt::to_string(latency_histogram::bounds()[i]),
+            total);
+    }
+    fmt::format_to(
+        std::back_inserter(text),
+        "{0}_sum{1} {2}\n{0}_count{1} {3}\n",
+        name,
+        with_braces(labels),
+        values.m_sum.count(),
+        total);
+}
+
 } // namespace
 
+std::array<double, latency_histogram::bucket_count> const&
+latency_histogram::bounds()
+{
+    static constexpr std::array<double, bucket_count> upper_bounds{
+        0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 5.0};
+    return upper_bounds;
+}
+
+void latency_histogram::record(std::chrono::nanoseconds value) noexcept
+{
+    std::chrono::duration<double> const seconds = value;
+    auto const bucket = std::ranges::lower_bound(bounds(), seconds.count());
+    auto const index = static_cast<std::size_t>(bucket - bounds().begin());
+    m_counts[index].fetch_add(1, std::memory_order_relaxed);
+    m_sum_ns.fetch_add(value.count(), std::memory_order_relaxed);
+}
+
+latency_histogram::values latency_histogram::read() const noexcept
+{
+    values result;
+    for (std::size_t i = 0; i < m_counts.size(); ++i)
+    {
+        result.m_counts[i] = m_counts[i].load(std::memory_order_relaxed);
+    }
+    result.m_sum =
+        std::chrono::nanoseconds{m_sum_ns.load(std::memory_order_relaxed)};
+    return result;
+}
+
 latency_summary::latency_summary()
     : m_seconds(acc::extended_p_square_probabilities = quantile_probabilities)
 {
@@ -174,6 +234,13 @@
     return find_or_create(m_latencies, name, labels);
 }
 
+latency_histogram& metrics_registry::get_histogram(
+    std::string_view name, metric_labels const& labels)
+{
+    std::scoped_lock const lock{m_mutex};
+    return find_or_create(m_histograms, name, labels);
+}
+
 std::string metrics_registry::to_text() const
 {
     std::scoped_lock const lock{m_mutex};
@@ -188,6 +255,14 @@
             append_summary(text, name, labels, series->read());
         }
     }
+    for (auto const& [name, histograms] : m_histograms)
+    {
+        fmt::format_to(std::back_inserter(text), "# TYPE {} histogram\n", name);
+        for (auto const& [labels, series] : histograms)
+        {
+            append_histogram(text, name, labels, series->read());
+        }
+    }
     return text;
 }
 
--- a/src/metrics.hpp
+++ b/src/metrics.hpp
@@ -10,6 +10,7 @@
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <cstdint>
@@ -96,6 +97,31 @@
     accumulator m_seconds;
 };
 
+/// Counts of durations by buckets with fixed upper bounds, for sums over many
+/// processes. Any thread may record.
+class latency_histogram
+{
+public:
+    static constexpr std::size_t bucket_count = 12;
+
+    /// Upper bounds of the buckets in seconds; the last one has none.
+    static std::array<double, bucket_count> const& bounds();
+
+    void record(std::chrono::nanoseconds value) noexcept;
+
+    struct values
+    {
+        std::array<std::uint64_t, bucket_count + 1> m_counts{};
+        std::chrono::duration<double> m_sum{};
+    };
+
+    [[nodiscard]] values read() const noexcept;
+
+private:
+    std::array<std::atomic<std::uint64_t>, bucket_count + 1> m_counts{};
+    std::atomic<std::int64_t> m_sum_ns{0};
+};
+
 /// Owns all time series of a process. References stay valid for its lifetime,
 /// so that hot paths look a series up once.
 class metrics_registry
@@ -106,6 +132,8 @@
     gauge& get_gauge(std::string_view name, metric_labels const& labels = {});
     latency_summary&
     get_latency(std::string_view name, metric_labels const& labels = {});
+    latency_histogram&
+    get_histogram(std::string_view name, metric_labels const& labels = {});
 
     /// All series in the Prometheus text exposition format.
     [[nodiscard]] std::string to_text() const;
@@ -121,6 +149,7 @@
     families<counter> m_counters;
     families<gauge> m_gauges;
     families<latency_summary> m_latencies;
+    families<latency_histogram> m_histograms;
 };
 
 } // namespace briarhub
--- /dev/null
+++ b/src/peer_table.cpp
@@ -0,0 +1,167 @@
+#include "peer_table.hpp"
+
+#include <algorithm>
+
+namespace briarhub
+{
+namespace
+{
+
+/// Order in which VMs take a duty: unrelated to their addresses.
+std::uint64_t duty_rank(vm_tag vm)
+{
+    constexpr std::uint64_t multiplier = 0x9e3779b97f4a7c15ULL;
+    std::uint64_t const mixed = (vm + multiplier) * multiplier;
+    return mixed ^ (mixed >> 29U);
+}
+
+} // namespace
+
+peer_table::peer_table(peer_address self, std::uint64_t seed)
+    : m_self(self), m_random(seed)
+{
+}
+
+void peer_table::add(time_point now, peer_address const& address)
+{
+    if (address.m_vm == m_self.m_vm || address.m_vm == 0)
+    {
+        return;
+    }
+    auto const [place, is_new] = m_peers.try_emplace(address.m_vm);
+    if (is_new)
+    {
+        place->second.m_domain = address.m_domain;
+        place->second.m_added = now;
+    }
+}
+
+bool peer_table::hear(time_point now, gossip_message const& message)
+{
+    if (message.m_origin.m_vm == m_self.m_vm)
+    {
+        return false;
+    }
+    if (message.m_is_leaving)
+    {
+        m_peers.erase(message.m_origin.m_vm);
+        return true;
+    }
+    add(now, message.m_origin);
+    auto& entry = m_peers[message.m_origin.m_vm];
+    bool const is_old =
+        entry.m_run == message.m_run && message.m_sequence <= entry.m_sequence;
+    entry.m_domain = message.m_origin.m_domain;
+    entry.m_heard = now;
+    entry.m_was_heard = true;
+    if (is_old)
+    {
+        return false;
+    }
+    entry.m_run = message.m_run;
+    entry.m_sequence = message.m_sequence;
+    entry.m_has_store = message.m_state.m_has_store;
+    return true;
+}
+
+void peer_table::forget_silent(time_point now)
+{
+    std::erase_if(
+        m_peers,
+        [&](auto const& item)
+        {
+            auto const& entry = item.second;
+            auto const since =
+                entry.m_was_heard ? entry.m_heard : entry.m_added;
+            return now - since >= peer_retention;
+        });
+}
+
+bool peer_table::is_live(time_point now, peer const& entry)
+{
+    return entry.m_was_heard && now - entry.m_heard < peer_silence_limit;
+}
+
+std::vector<peer_table::destination> peer_table::destinations(time_point now)
+{
+    std::vector<destination> chosen;
+    std::map<domain_tag, std::vector<vm_tag>> live;
+    std::map<domain_tag, std::vector<vm_tag>> silent;
+    for (auto const& [vm, entry] : m_peers)
+    {
+        if (entry.m_domain == m_self.m_domain)
+        {
+            chosen.push_back({vm, false});
+            continue;
+        }
+        auto& group = is_live(now, entry) ? live : silent;
+        group[entry.m_domain].push_back(vm);
+    }
+    auto const add_one_of = [&](std::vector<vm_tag> const& group)
+    {
+        std::uniform_int_distribution<std::size_t> pick{0, group.size() - 1};
+        chosen.push_back({group[pick(m_random)], true});
+    };
+    for (auto const& [domain, group] : live)
+    {
+        add_one_of(group);
+    }
+    // A domain without any live VM is asked for life now and then.
+    for (auto const& [domain, group] : silent)
+    {
+        if (!live.contains(domain))
+        {
+            add_one_of(group);
+        }
+    }
+    return chosen;
+}
+
+std::vector<vm_tag> peer_table::neighbours() const
+{
+    std::vector<vm_tag> found;
+    for (auto const& [vm, entry] : m_peers)
+    {
+        if (entry.m_domain == m_self.m_domain)
+        {
+            found.push_back(vm);
+        }
+    }
+    return found;
+}
+
+std::vector<peer_address> peer_table::members() const
+{
+    std::vector<peer_address> list{m_self};
+    for (auto const& [vm, entry] : m_peers)
+    {
+        list.push_back({vm, entry.m_domain});
+    }
+    return list;
+}
+
+fleet_view peer_table::view(time_point now) const
+{
+    fleet_view view;
+    for (auto const& [vm, entry] : m_peers)
+    {
+        ++view.m_known;
+        view.m_heard += is_live(now, entry) ? 1 : 0;
+    }
+    return view;
+}
+
+bool peer_table::should_follow(time_point now) const
+{
+    auto const own_rank = duty_rank(m_self.m_vm);
+    return std::ranges::none_of(
+        m_peers,
+        [&](auto const& item)
+        {
+            auto const& [vm, entry] = item;
+            return entry.m_domain == m_self.m_domain && is_live(now, entry) &&
+                   entry.m_has_store && duty_rank(vm) < own_rank;
+        });
+}
+
+} // namespace briarhub
--- /dev/null
+++ b/src/peer_table.hpp
@@ -0,0 +1,87 @@
+#ifndef BRIARHUB_PEER_TABLE_HPP
+#define BRIARHUB_PEER_TABLE_HPP
+
+/// The entry VMs that this VM knows, when it last heard each, and whom it
+/// tells its news. Pure: no I/O, reads no clock.
+
+#include "fleet_caps.hpp"
+#include "gossip_message.hpp"
+#include "tags.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <vector>
+
+namespace briarhub
+{
+
+/// A peer that is silent for this time is not counted on. Four heartbeats.
+inline constexpr std::chrono::milliseconds peer_silence_limit{2000};
+
+/// A peer that is silent for this time is no part of the fleet any more.
+inline constexpr std::chrono::seconds peer_retention{12};
+
+class peer_table
+{
+public:
+    peer_table(peer_address self, std::uint64_t seed);
+
+    /// A VM that the store or a peer names.
+    void add(time_point now, peer_address const& address);
+
+    /// A message of a peer arrived; false if it is older than one of the same
+    /// run that was heard before.
+    bool hear(time_point now, gossip_message const& message);
+
+    void forget_silent(time_point now);
+
+    struct destination
+    {
+        vm_tag m_vm = 0;
+        bool m_pass_on = false;
+    };
+
+    /// All known VMs of this failure domain, and one VM of each other domain
+    /// that passes the message on.
+    std::vector<destination> destinations(time_point now);
+
+    /// All known VMs of this failure domain.
+    [[nodiscard]] std::vector<vm_tag> neighbours() const;
+
+    [[nodiscard]] std::vector<peer_address> members() const;
+
+    [[nodiscard]] fleet_view view(time_point now) const;
+
+    /// This VM reads the store for its failure domain: no live VM of the
+    /// domain that reaches the store comes before it.
+    [[nodiscard]] bool should_follow(time_point now) const;
+
+    [[nodiscard]] peer_address const& self() const
+    {
+        return m_self;
+    }
+
+private:
+    struct peer
+    {
+        domain_tag m_domain = 0;
+        time_point m_added{};
+        time_point m_heard{};
+        bool m_was_heard = false;
+        std::uint32_t m_run = 0;
+        std::uint64_t m_sequence = 0;
+        bool m_has_store = false;
+    };
+
+    static bool is_live(time_point now, peer const& entry);
+
+    peer_address m_self;
+    std::mt19937_64 m_random;
+    std::map<vm_tag, peer> m_peers;
+};
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/policy_index.hpp
@@ -0,0 +1,67 @@
+#ifndef BRIARHUB_POLICY_INDEX_HPP
+#define BRIARHUB_POLICY_INDEX_HPP
+
+/// Finds the route and the client account of a request in one version of the
+/// fleet's policy.
+
+#include "fleet_policy.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace briarhub
+{
+
+class policy_index
+{
+public:
+    policy_index() = default;
+    explicit policy_index(fleet_policy policy);
+
+    // The maps point into the policy.
+    policy_index(policy_index const&) = delete;
+    policy_index& operator=(policy_index const&) = delete;
+
+    /// Replaces the policy.
+    void assign(fleet_policy policy);
+
+    [[nodiscard]] fleet_policy const& policy() const
+    {
+        return m_policy;
+    }
+
+    /// The route of `host` with the longest prefix of `path`, or null.
+    [[nodiscard]] route_policy const*
+    find_route(std::string_view host, std::string_view path) const;
+
+    /// The account that holds the key, or null.
+    [[nodiscard]] account_policy const*
+    find_account(std::string_view caller_key) const;
+
+    [[nodiscard]] account_policy const*
+    account_named(account_name const& name) const;
+
+    /// False if the policy has no accounts; requests then need no key.
+    [[nodiscard]] bool needs_keys() const
+    {
+        return !m_policy.m_accounts.empty();
+    }
+
+private:
+    using routes_by_prefix =
+        std::map<std::string, route_policy const*, std::less<>>;
+
+    void index();
+
+    fleet_policy m_policy;
+    std::map<std::string, routes_by_prefix, std::less<>> m_routes;
+    std::unordered_map<std::string, account_policy const*> m_by_key_digest;
+    std::unordered_map<account_name, account_policy const*> m_by_name;
+};
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/sickness.hpp
@@ -0,0 +1,58 @@
+#ifndef BRIARHUB_SICKNESS_HPP
+#define BRIARHUB_SICKNESS_HPP
+
+/// Probability that an upstream, or the path to it, is sick. Pure: no I/O,
+/// reads no clock.
+
+#include "clock.hpp"
+
+#include <chrono>
+
+namespace briarhub
+{
+
+/// How often an upstream changes between sound and sick.
+struct sickness_rates
+{
+    double m_fall_per_s = 0.0;    ///< sound to sick
+    double m_recover_per_s = 0.0; ///< sick to sound
+};
+
+/// Gray failures of an upstream last about ten seconds.
+inline constexpr sickness_rates upstream_rates{0.035, 0.11};
+
+/// A path between two machines is cut rarely and for seconds.
+inline constexpr sickness_rates path_rates{0.003, 0.25};
+
+/// What one attempt showed.
+enum class sign
+{
+    served,  ///< whole answer in time
+    failed,  ///< answered with a failure, reset, refused or damaged
+    slow,    ///< served, but slower than its class usually is
+    stuck,   ///< still in flight long after its class usually ends
+    silent,  ///< no answer and no reset
+    rejected ///< refused before running
+};
+
+/// A two-state hidden Markov model: each sign shifts the odds, and without
+/// signs the probability returns to its long-run mean.
+class sickness
+{
+public:
+    sickness(sickness_rates const& rates, time_point now);
+
+    /// 0 is certainly sound, 1 certainly sick.
+    [[nodiscard]] double probability(time_point now) const;
+
+    void observe(time_point now, sign what);
+
+private:
+    sickness_rates m_rates;
+    double m_probability;
+    time_point m_updated;
+};
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/state_feed.cpp
@@ -0,0 +1,532 @@
+#include "state_feed.hpp"
+
+#include "gossip.pb.h"
+#include "parse_number.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace briarhub
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+
+/// Changes of the policy are waited for; keep-alive probes notice a dead
+/// connection earlier.
+constexpr milliseconds policy_wait{25000};
+
+/// Changes that come in quick succession are read together.
+constexpr milliseconds policy_pause{60};
+
+/// Announcements of upstreams never cease, so the directory is read at
+/// intervals: a quarter of the shortest bound on changes.
+constexpr milliseconds upstreams_interval{500};
+
+constexpr milliseconds min_failure_pause{150};
+constexpr milliseconds max_failure_pause{1000};
+
+/// The store counts as away after failing for so long; upstreams then may
+/// have lapsed without fault.
+constexpr milliseconds outage_length{1000};
+
+constexpr milliseconds fetch_timeout{600};
+
+/// A peer of another domain is asked only if no near one has the state soon:
+/// bytes between domains are dear.
+constexpr milliseconds far_fetch_delay{60};
+
+constexpr std::string_view state_path = "/state";
+
+/// Seeds are asked while the store does not answer.
+constexpr milliseconds seed_interval{400};
+
+} // namespace
+
+state_feed::state_feed(
+    asio::io_context& io,
+    edge_settings const& options,
+    fleet_store& store,
+    metrics_registry& metrics,
+    event_log& events,
+    sink on_news)
+    : m_io(io), m_options(options), m_store(store), m_metrics(metrics),
+      m_events(events), m_on_news(std::move(on_news)), m_client(io),
+      m_server(
+          io,
+          options.m_peer_listen,
+          [this](
+              std::string_view path,
+              std::string_view message,
+              peer_responder respond)
+          {
+              respond(answer(path, message));
+          }),
+      m_directory(
+          [this](std::string_view key, std::string_view value)
+          {
+              return m_store.decode_upstream(key, value);
+          },
+          [this](std::string const& key, std::string const& reason)
+          {
+              m_metrics.get_counter("briarhub_upstream_entries_rejected_total")
+                  .add();
+              m_events.write(
+                  "upstream_entry_rejected",
+                  {{"key", key}, {"reason", reason}});
+          }),
+      m_policy_timer(io), m_upstreams_timer(io)
+{
+}
+
+void state_feed::start()
+{
+    asio::co_spawn(m_io, follow_policy(), asio::detached);
+    asio::co_spawn(m_io, follow_upstreams(), asio::detached);
+    asio::co_spawn(m_io, announce(), asio::detached);
+    asio::co_spawn(m_io, ask_seeds(), asio::detached);
+}
+
+void state_feed::stop()
+{
+    m_is_stopped = true;
+    m_policy_timer.cancel();
+    m_upstreams_timer.cancel();
+    m_server.stop();
+}
+
+void state_feed::set_duty(store_duty const& duty)
+{
+    bool const is_woken = duty.m_reads && !m_duty.m_reads;
+    m_duty = duty;
+    m_was_fed_while_failing = m_was_fed_while_failing || duty.m_is_fed;
+    if (is_woken)
+    {
+        m_policy_timer.cancel();
+        m_upstreams_timer.cancel();
+    }
+}
+
+asio::awaitable<void> state_feed::pause(duration length)
+{
+    timer alarm{m_io, length};
+    co_await alarm.async_wait(use_tuple);
+}
+
+asio::awaitable<void> state_feed::wait_for_duty(timer& alarm)
+{
+    while (!m_duty.m_reads && !m_is_stopped)
+    {
+        alarm.expires_at(time_point::max());
+        co_await alarm.async_wait(use_tuple);
+    }
+}
+
+/// Names this VM to later ones and learns the earlier ones.
+asio::awaitable<void> state_feed::announce()
+{
+    bool is_announced = false;
+    while (!is_announced && !m_is_stopped)
+    {
+        auto const failure = co_await m_store.put(
+            store_topic::members, m_options.m_ip, m_options.m_failure_domain);
+        is_announced = !failure;
+        if (failure)
+        {
+            note_failure(runtime_clock::now(), "announce", *failure);
+            co_await pause(failure_pause());
+        }
+    }
+    auto const listed = co_await m_store.newest(store_topic::members);
+    auto const* page = std::get_if<store_page>(&listed);
+    if (page == nullptr)
+    {
+        co_return;
+    }
+    members_news news;
+    for (auto const& record : page->m_records)
+    {
+        boost::system::error_code error;
+        auto const address = asio::ip::make_address_v4(record.m_key, error);
+        if (!error && record.m_value)
+        {
+            news.m_members.push_back(
+                {address.to_uint(), short_hash(*record.m_value)});
+        }
+    }
+    m_on_news(std::move(news));
+}
+
+asio::awaitable<void> state_feed::follow_policy()
+{
+    while (!m_is_stopped)
+    {
+        co_await wait_for_duty(m_policy_timer);
+        bool const is_read = co_await read_policy_once();
+        co_await pause(is_read ? duration{policy_pause} : failure_pause());
+    }
+}
+
+asio::awaitable<bool> state_feed::read_policy_once()
+{
+    // GCC 12 miscompiles a co_await inside a conditional expression.
+    store_result result;
+    if (m_policy_next)
+    {
+        result = co_await m_store.read(
+            store_topic::policy, *m_policy_next, policy_wait);
+    }
+    else
+    {
+        result = co_await m_store.newest(store_topic::policy);
+    }
+    auto const now = runtime_clock::now();
+    if (auto const* failure = std::get_if<store_failure>(&result))
+    {
+        if (*failure == store_failure::history_gone)
+        {
+            m_policy_next.reset();
+            co_return true;
+        }
+        note_failure(now, "policy", *failure);
+        co_return false;
+    }
+    note_success(now);
+    auto const& page = std::get<store_page>(result);
+    m_policy_next = page.m_end;
+    bool is_changed = false;
+    for (auto const& record : page.m_records)
+    {
+        if (record.m_value)
+        {
+            is_changed =
+                take_policy(record.m_key, *record.m_value) || is_changed;
+        }
+    }
+    if (is_changed)
+    {
+        publish_held();
+    }
+    co_return true;
+}
+
+/// True if the policy is newer than the one that is known.
+bool state_feed::take_policy(std::string_view key, std::string_view value)
+{
+    auto decoded = m_store.decode_policy(key, value);
+    if (!decoded)
+    {
+        return false;
+    }
+    if (auto const* failure = std::get_if<decode_failure>(&*decoded))
+    {
+        m_metrics.get_counter("briarhub_policies_rejected_total").add();
+        m_events.write("policy_rejected", {{"reason", failure->m_reason}});
+        return false;
+    }
+    auto& policy = std::get<fleet_policy>(*decoded);
+    if (policy.m_version <= m_held.m_policy_version)
+    {
+        return false;
+    }
+    m_held.m_policy_version = policy.m_version;
+    m_policy_key = key;
+    m_policy_text = value;
+    m_on_news(policy_news{std::make_unique<fleet_policy>(std::move(policy))});
+    return true;
+}
+
+asio::awaitable<void> state_feed::follow_upstreams()
+{
+    while (!m_is_stopped)
+    {
+        co_await wait_for_duty(m_upstreams_timer);
+        bool const is_read = co_await read_upstreams_once();
+        co_await pause(
+            is_read ? duration{upstreams_interval} : failure_pause());
+    }
+}
+
+asio::awaitable<bool> state_feed::read_upstreams_once()
+{
+    bool const is_first = !m_upstreams_next && m_directory.last_change() == 0;
+    log_offset const from =
+        m_upstreams_next.value_or(m_directory.last_change() + 1);
+    store_result result;
+    if (is_first)
+    {
+        result = co_await m_store.newest(store_topic::upstreams);
+    }
+    else
+    {
+        result = co_await m_store.read(
+            store_topic::upstreams, from, milliseconds{0});
+    }
+    auto const now = runtime_clock::now();
+    if (auto const* failure = std::get_if<store_failure>(&result))
+    {
+        if (*failure == store_failure::history_gone)
+        {
+            auto const all = co_await m_store.newest(store_topic::upstreams);
+            if (auto const* page = std::get_if<store_page>(&all))
+            {
+                note_success(now);
+                m_upstreams_next = page->m_end;
+                take_upstreams(m_directory.replace(now, page->m_records));
+                co_return true;
+            }
+        }
+        note_failure(now, "upstreams", *failure);
+        m_held.m_is_following = false;
+        publish_held();
+        co_return false;
+    }
+    note_success(now);
+    auto const& page = std::get<store_page>(result);
+    m_upstreams_next = std::max(page.m_end, m_upstreams_next.value_or(0));
+    bool is_changed = is_first ? m_directory.replace(now, page.m_records)
+                               : m_directory.apply(now, page.m_records);
+    is_changed = m_directory.expire(now) || is_changed;
+    take_upstreams(is_changed || is_first);
+    co_return true;
+}
+
+/// Publishes the directory if it changed. Peers are told in any case that
+/// this VM follows the store.
+void state_feed::take_upstreams(bool is_changed)
+{
+    m_held.m_is_following = true;
+    if (is_changed)
+    {
+        auto usable = m_directory.usable();
+        m_events.write(
+            "upstreams",
+            {{"usable", usable.size()}, {"offset", m_directory.last_change()}});
+        m_on_news(upstreams_news{std::move(usable)});
+    }
+    m_held.m_directory_change = m_directory.last_change();
+    publish_held();
+}
+
+void state_feed::note_success(time_point now)
+{
+    if (m_failing_since)
+    {
+        auto const length = now - *m_failing_since;
+        m_events.write(
+            "store_regained",
+            {{"away_ms", std::chrono::floor<milliseconds>(length).count()},
+             {"fed_by_peers", m_was_fed_while_failing}});
+        if (length >= outage_length && !m_was_fed_while_failing)
+        {
+            m_directory.store_returned(now);
+        }
+    }
+    m_failing_since.reset();
+    m_failures = 0;
+    m_held.m_has_store = true;
+}
+
+void state_feed::note_failure(
+    time_point now, std::string_view what, store_failure failure)
+{
+    m_metrics
+        .get_counter(
+            "briarhub_store_failures_total",
+            {{"reason", std::string{to_string(failure)}}})
+        .add();
+    ++m_failures;
+    if (!m_failing_since)
+    {
+        m_failing_since = now;
+        m_was_fed_while_failing = m_duty.m_is_fed;
+        m_events.write(
+            "store_lost", {{"call", what}, {"reason", to_string(failure)}});
+    }
+    m_held.m_has_store = false;
+}
+
+duration state_feed::failure_pause()
+{
+    auto const doubled = min_failure_pause * (1U << std::min(m_failures, 3U));
+    return std::min<duration>(doubled, max_failure_pause);
+}
+
+void state_feed::publish_held()
+{
+    if (m_held == m_published)
+    {
+        return;
+    }
+    m_published = m_held;
+    m_on_news(held_news{m_held});
+}
+
+/// Asks the seeds for state until some is there.
+asio::awaitable<void> state_feed::ask_seeds()
+{
+    co_await pause(seed_interval);
+    while (!m_is_stopped &&
+           (m_held.m_policy_version == 0 || m_directory.last_change() == 0))
+    {
+        for (auto const& seed : m_options.m_seeds)
+        {
+            if (seed != m_options.m_peer_listen)
+            {
+                asio::co_spawn(m_io, fetch(seed), asio::detached);
+            }
+        }
+        co_await pause(seed_interval);
+    }
+}
+
+bool state_feed::is_behind(held_state const& other) const
+{
+    return other.m_policy_version > m_held.m_policy_version ||
+           other.m_directory_change > m_directory.last_change();
+}
+
+void state_feed::note_newer_peer(newer_peer const& peer)
+{
+    if (!is_behind(peer.m_state) || m_is_stopped)
+    {
+        return;
+    }
+    auto const own = split_endpoint(m_options.m_peer_listen);
+    if (!own)
+    {
+        return;
+    }
+    auto const address = asio::ip::address_v4{peer.m_vm}.to_string() + ':' +
+                         std::to_string(own->m_port);
+    if (!m_fetching.insert(address).second)
+    {
+        return;
+    }
+    asio::co_spawn(
+        m_io,
+        [](state_feed& self,
+           newer_peer wanted,
+           endpoint_address from) -> asio::awaitable<void>
+        {
+            if (!wanted.m_is_near)
+            {
+                co_await self.pause(far_fetch_delay);
+            }
+            if (self.is_behind(wanted.m_state))
+            {
+                co_await self.fetch(from);
+            }
+            self.m_fetching.erase(from);
+        }(*this, peer, address),
+        asio::detached);
+}
+
+asio::awaitable<void> state_feed::fetch(endpoint_address peer)
+{
+    wire::StateRequest request;
+    request.set_policy_version(m_held.m_policy_version);
+    request.set_directory_change(m_directory.last_change());
+    auto const reply = co_await m_client.request(
+        peer,
+        std::string{state_path},
+        request.SerializeAsString(),
+        fetch_timeout);
+    if (auto const* text = std::get_if<std::string>(&reply))
+    {
+        take_state(*text);
+        co_return;
+    }
+    m_metrics.get_counter("briarhub_state_fetches_failed_total").add();
+    m_events.write(
+        "state_fetch_failed",
+        {{"peer", peer},
+         {"reason", describe(std::get<result_code>(reply)).m_name}});
+}
+
+void state_feed::take_state(std::string_view reply)
+{
+    wire::StateReply state;
+    if (!state.ParseFromArray(reply.data(), static_cast<int>(reply.size())))
+    {
+        m_events.write("state_fetch_failed", {{"reason", "malformed"}});
+        return;
+    }
+    if (state.has_policy())
+    {
+        take_policy(state.policy_key(), state.policy());
+    }
+    upstream_directory::changes news;
+    news.m_is_whole = state.is_whole_directory();
+    news.m_last_change = state.directory_change();
+    for (auto const& record : state.records())
+    {
+        std::optional<std::string> value;
+        if (!record.is_removed())
+        {
+            value = record.value();
+        }
+        news.m_records.push_back(
+            {record.key(), std::move(value), record.offset()});
+    }
+    bool const is_first = m_directory.last_change() == 0;
+    if (news.m_last_change > m_directory.last_change())
+    {
+        bool const is_changed = m_directory.adopt(runtime_clock::now(), news);
+        if (is_changed || is_first)
+        {
+            m_on_news(upstreams_news{m_directory.usable()});
+        }
+        m_held.m_directory_change = m_directory.last_change();
+    }
+    publish_held();
+}
+
+std::optional<std::string>
+state_feed::answer(std::string_view path, std::string_view message) const
+{
+    wire::StateRequest request;
+    bool const is_valid = path == state_path &&
+                          request.ParseFromArray(
+                              message.data(), static_cast<int>(message.size()));
+    if (!is_valid)
+    {
+        return std::nullopt;
+    }
+    wire::StateReply reply;
+    if (m_held.m_policy_version > request.policy_version())
+    {
+        reply.set_has_policy(true);
+        reply.set_policy_key(m_policy_key);
+        reply.set_policy(m_policy_text);
+    }
+    auto const known = request.directory_change();
+    if (m_directory.last_change() > known)
+    {
+        auto const news = m_directory.changes_since(known);
+        reply.set_is_whole_directory(news.m_is_whole);
+        reply.set_directory_change(news.m_last_change);
+        for (auto const& record : news.m_records)
+        {
+            auto& added = *reply.add_records();
+            added.set_key(record.m_key);
+            added.set_value(record.m_value.value_or(std::string{}));
+            added.set_is_removed(!record.m_value);
+            added.set_offset(record.m_offset);
+        }
+    }
+    return reply.SerializeAsString();
+}
+
+} // namespace briarhub
--- a/src/suspect_requests.cpp
+++ b/src/suspect_requests.cpp
@@ -24,6 +24,11 @@
     suspect.m_last_crash = now;
 }
 
+void suspect_requests::forget(std::string const& digest)
+{
+    m_entries.erase(digest);
+}
+
 // Peers report the crashes that they saw themselves, so counts add up and a
 // crash is counted once.
 void suspect_requests::receive(
--- a/src/suspect_requests.hpp
+++ b/src/suspect_requests.hpp
@@ -29,6 +29,9 @@
     /// The request was in flight at an upstream crash seen by this VM.
     void report_crash(time_point now, std::string const& digest);
 
+    /// The request was served, so it crashes no upstream.
+    void forget(std::string const& digest);
+
     /// Suspects that a peer reported.
     void receive(time_point now, std::span<suspect_request const> items);
 
--- /dev/null
+++ b/src/tags.hpp
@@ -0,0 +1,39 @@
+#ifndef BRIARHUB_TAGS_HPP
+#define BRIARHUB_TAGS_HPP
+
+/// Short names of things in datagrams between VMs.
+
+#include <cstdint>
+#include <string_view>
+
+namespace briarhub
+{
+
+/// A VM: its IPv4 address in host order.
+using vm_tag = std::uint32_t;
+
+/// A failure domain.
+using domain_tag = std::uint32_t;
+
+/// One lifetime of an upstream.
+using upstream_tag = std::uint32_t;
+
+/// An account or a service.
+using cap_tag = std::uint32_t;
+
+/// 32 bits of FNV-1a, the same on every VM.
+constexpr std::uint32_t short_hash(std::string_view text)
+{
+    constexpr std::uint32_t offset_basis = 2166136261U;
+    constexpr std::uint32_t prime = 16777619U;
+    std::uint32_t hash = offset_basis;
+    for (char const c : text)
+    {
+        hash = (hash ^ static_cast<unsigned char>(c)) * prime;
+    }
+    return hash;
+}
+
+} // namespace briarhub
+
+#endif
--- /dev/null
+++ b/src/upstream_exchange.cpp
@@ -0,0 +1,475 @@
+#include "upstream_exchange.hpp"
+
+#include "clock.hpp"
+#include "parse_number.hpp"
+#include "socket_options.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace briarhub
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace
+{
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+
+/// Two round trips between zones and time for a busy upstream to accept. A
+/// lost opening packet is sent again only after a second.
+constexpr std::chrono::milliseconds connect_timeout{400};
+
+constexpr std::uint32_t max_answer_head_bytes = 64 * 1024;
+constexpr std::size_t read_chunk_bytes = 16 * 1024;
+
+/// Answers of other requests that may come first on a connection.
+constexpr unsigned max_skipped_answers = 4;
+
+/// An upstream that states its idle timeout in whole seconds may close up to
+/// this much earlier than stated.
+constexpr std::chrono::milliseconds idle_margin{1000};
+
+/// Idle limit for an upstream that states none.
+constexpr std::chrono::milliseconds default_idle_limit{4000};
+
+std::string_view to_view(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+/// The time after which the upstream may close the idle connection.
+std::chrono::milliseconds idle_limit(http::response_header<> const& head)
+{
+    for (auto const& part : http::token_list{head[http::field::keep_alive]})
+    {
+        auto const text = to_view(part);
+        constexpr std::string_view name = "timeout=";
+        if (!text.starts_with(name))
+        {
+            continue;
+        }
+        auto const seconds = parse_number<unsigned>(text.substr(name.size()));
+        if (seconds)
+        {
+            std::chrono::milliseconds const stated =
+                std::chrono::seconds{*seconds};
+            return std::max(stated - idle_margin, stated / 2);
+        }
+    }
+    return default_idle_limit;
+}
+
+bool is_interim(http::response_header<> const& head)
+{
+    return head.result_int() / 100 == 1;
+}
+
+} // namespace
+
+namespace detail
+{
+
+/// Shared by the exchange, its timer and its pending write.
+struct exchange_state
+{
+    explicit exchange_state(asio::io_context& io) : m_timer(io)
+    {
+    }
+
+    void close()
+    {
+        if (m_connection)
+        {
+            error_code ignored;
+            m_connection->m_socket.close(ignored);
+        }
+    }
+
+    upstream_connection_ptr m_connection;
+    http::request<http::string_body> m_message;
+    timer m_timer;
+    bool m_is_written = false;
+    bool m_is_timed_out = false;
+    bool m_is_stopped = false;
+};
+
+} // namespace detail
+
+namespace
+{
+
+using detail::exchange_state;
+
+class running_exchange
+{
+public:
+    running_exchange(
+        header_names const& names,
+        upstream_pool& pool,
+        exchange_request&& request,
+        answer_stream const& stream,
+        std::shared_ptr<exchange_state> state)
+        : m_names(names), m_pool(pool), m_request(std::move(request)),
+          m_stream(stream), m_state(std::move(state))
+    {
+        m_state->m_message = std::move(m_request.m_message);
+        m_is_head = m_state->m_message.method() == http::verb::head;
+    }
+
+    asio::awaitable<exchange_result> perform()
+    {
+        bool const is_connected = co_await connect();
+        if (is_connected)
+        {
+            arm(m_request.m_deadline);
+            start_write();
+            co_await read_answer();
+        }
+        m_state->m_timer.cancel();
+        finish();
+        co_return std::move(m_result);
+    }
+
+private:
+    void arm(time_point when)
+    {
+        m_state->m_timer.expires_at(when);
+        m_state->m_timer.async_wait(
+            [weak = std::weak_ptr{m_state}](error_code error)
+            {
+                auto const state = weak.lock();
+                if (!error && state)
+                {
+                    state->m_is_timed_out = true;
+                    state->close();
+                }
+            });
+    }
+
+    asio::awaitable<bool> connect()
+    {
+        m_state->m_connection = m_pool.take_idle(m_request.m_address);
+        if (m_state->m_connection)
+        {
+            co_return true;
+        }
+        m_result.m_is_new_connection = true;
+        auto const endpoint = parse_endpoint(m_request.m_address);
+        if (!endpoint)
+        {
+            fail(exchange_end::refused, "malformed address");
+            co_return false;
+        }
+        m_state->m_connection = m_pool.make(m_request.m_address);
+        arm(std::min(
+            m_request.m_deadline, runtime_clock::now() + connect_timeout));
+        auto [error] = co_await socket().async_connect(*endpoint, use_tuple);
+        m_state->m_timer.cancel();
+        if (error)
+        {
+            bool const is_refused = error == asio::error::connection_refused ||
+                                    error == asio::error::connection_reset;
+            fail(
+                is_refused ? exchange_end::refused : exchange_end::unreachable,
+                error.message());
+            m_state->m_is_timed_out = false;
+            co_return false;
+        }
+        if (m_state->m_is_stopped)
+        {
+            co_return false;
+        }
+        m_state->m_is_timed_out = false;
+        set_silence_limits(socket());
+        co_return true;
+    }
+
+    // An upstream may answer before it has read the whole request, so the
+    // write runs beside the read.
+    void start_write()
+    {
+        m_result.m_sent = true;
+        http::async_write(
+            socket(),
+            m_state->m_message,
+            [state = m_state](error_code error, std::size_t)
+            {
+                state->m_is_written = !error;
+            });
+    }
+
+    asio::awaitable<void> read_answer()
+    {
+        for (unsigned skipped = 0; skipped <= max_skipped_answers; ++skipped)
+        {
+            http::response_parser<http::buffer_body> parser;
+            parser.header_limit(max_answer_head_bytes);
+            parser.body_limit(boost::none);
+            parser.skip(m_is_head);
+            if (!co_await read_head(parser))
+            {
+                co_return;
+            }
+            auto const& head = parser.get().base();
+            if (is_interim(head))
+            {
+                continue;
+            }
+            bool const is_own =
+                to_view(head[m_names.m_request_id]) == m_request.m_request_id;
+            if (!is_own && !connection().m_reused)
+            {
+                fail(exchange_end::damaged, "answer of another request");
+                co_return;
+            }
+            m_result.m_head = head;
+            m_result.m_body.clear();
+            if (!co_await read_body(parser, is_own))
+            {
+                co_return;
+            }
+            if (is_own)
+            {
+                complete(parser);
+                co_return;
+            }
+        }
+        fail(exchange_end::damaged, "too many answers of other requests");
+    }
+
+    asio::awaitable<bool>
+    read_head(http::response_parser<http::buffer_body>& parser)
+    {
+        auto [error, bytes] = co_await http::async_read_header(
+            socket(), connection().m_buffer, parser, use_tuple);
+        if (!error)
+        {
+            co_return true;
+        }
+        bool const is_end = error == http::error::end_of_stream ||
+                            error == asio::error::connection_reset ||
+                            error == asio::error::broken_pipe;
+        bool const is_unread =
+            is_end && connection().m_buffer.size() == 0 && !parser.got_some();
+        fail(
+            is_unread ? exchange_end::closed_unread : end_of(error),
+            error.message());
+        co_return false;
+    }
+
+    /// Reads the body of an answer; that of another request is dropped.
+    asio::awaitable<bool>
+    read_body(http::response_parser<http::buffer_body>& parser, bool is_own)
+    {
+        std::array<char, read_chunk_bytes> chunk;
+        while (!parser.is_done())
+        {
+            auto& body = parser.get().body();
+            body.data = chunk.data();
+            body.size = chunk.size();
+            body.more = true;
+            auto [error, bytes] = co_await http::async_read_some(
+                socket(), connection().m_buffer, parser, use_tuple);
+            std::string_view const data{chunk.data(), chunk.size() - body.size};
+            if (is_own)
+            {
+                bool const is_taken = co_await take(parser, data);
+                if (!is_taken)
+                {
+                    co_return false;
+                }
+            }
+            if (error && error != http::error::need_buffer)
+            {
+                fail(end_of(error), error.message());
+                co_return false;
+            }
+        }
+        co_return true;
+    }
+
+    /// Holds data, or passes it on once the answer is too large to hold.
+    asio::awaitable<bool> take(
+        http::response_parser<http::buffer_body>& parser, std::string_view data)
+    {
+        if (data.empty())
+        {
+            co_return true;
+        }
+        bool is_taken = true;
+        if (m_result.m_streamed)
+        {
+            is_taken = co_await m_stream.m_on_data(data);
+        }
+        else
+        {
+            m_result.m_body += data;
+            if (m_result.m_body.size() > m_request.m_held_bytes)
+            {
+                is_taken = co_await start_stream(parser);
+            }
+        }
+        if (!is_taken)
+        {
+            fail(exchange_end::stopped, "the caller took no data");
+        }
+        co_return is_taken;
+    }
+
+    asio::awaitable<bool>
+    start_stream(http::response_parser<http::buffer_body>& parser)
+    {
+        m_result.m_streamed = true;
+        std::optional<std::uint64_t> length;
+        if (parser.content_length())
+        {
+            length = *parser.content_length();
+        }
+        if (!co_await m_stream.m_on_head(m_result.m_head, length))
+        {
+            co_return false;
+        }
+        std::string const held = std::exchange(m_result.m_body, {});
+        co_return co_await m_stream.m_on_data(held);
+    }
+
+    /// The whole answer is there: keeps the connection if nothing else may
+    /// come on it.
+    void complete(http::response_parser<http::buffer_body> const& parser)
+    {
+        m_result.m_end = exchange_end::answered;
+        bool const is_clean = m_state->m_is_written && parser.keep_alive() &&
+                              connection().m_buffer.size() == 0 &&
+                              !m_state->m_is_timed_out &&
+                              !m_state->m_is_stopped;
+        if (is_clean)
+        {
+            auto const limit = idle_limit(m_result.m_head);
+            connection().m_idle_limit = runtime_clock::now() + limit;
+            m_pool.put_back(std::move(m_state->m_connection));
+        }
+    }
+
+    void finish()
+    {
+        bool const is_answered = m_result.m_end == exchange_end::answered;
+        if (!is_answered && m_state->m_is_timed_out && m_result.m_sent)
+        {
+            m_result.m_end = exchange_end::timed_out;
+        }
+        if (!is_answered && m_state->m_is_stopped)
+        {
+            m_result.m_end = exchange_end::stopped;
+        }
+        m_state->close();
+    }
+
+    [[nodiscard]] static exchange_end end_of(error_code const& error)
+    {
+        bool const is_break =
+            error == http::error::partial_message ||
+            error == http::error::end_of_stream ||
+            error.category() == asio::error::get_system_category();
+        return is_break ? exchange_end::broken : exchange_end::damaged;
+    }
+
+    void fail(exchange_end end, std::string reason)
+    {
+        m_result.m_end = end;
+        m_result.m_error = std::move(reason);
+    }
+
+    upstream_connection& connection()
+    {
+        return *m_state->m_connection;
+    }
+
+    asio::ip::tcp::socket& socket()
+    {
+        return connection().m_socket;
+    }
+
+    header_names const& m_names;
+    upstream_pool& m_pool;
+    exchange_request m_request;
+    answer_stream const& m_stream;
+    std::shared_ptr<exchange_state> m_state;
+    exchange_result m_result;
+    bool m_is_head = false;
+};
+
+} // namespace
+
+std::string_view to_string(exchange_end end) noexcept
+{
+    switch (end)
+    {
+    case exchange_end::answered:
+        return "answered";
+    case exchange_end::refused:
+        return "refused";
+    case exchange_end::unreachable:
+        return "unreachable";
+    case exchange_end::closed_unread:
+        return "closed_unread";
+    case exchange_end::broken:
+        return "broken";
+    case exchange_end::damaged:
+        return "damaged";
+    case exchange_end::timed_out:
+        return "timed_out";
+    case exchange_end::stopped:
+        return "stopped";
+    }
+    return "unknown";
+}
+
+void exchange_control::stop()
+{
+    m_is_stopped = true;
+    if (auto const state = m_state.lock())
+    {
+        state->m_is_stopped = true;
+        state->close();
+    }
+}
+
+exchange_runner::exchange_runner(
+    asio::io_context& io, header_names const& names, upstream_pool& pool)
+    : m_io(io), m_names(names), m_pool(pool)
+{
+}
+
+asio::awaitable<exchange_result> exchange_runner::run(
+    exchange_request request,
+    exchange_control& control,
+    answer_stream const& stream)
+{
+    auto state = std::make_shared<exchange_state>(m_io);
+    control.m_state = state;
+    if (control.m_is_stopped)
+    {
+        exchange_result unsent;
+        unsent.m_end = exchange_end::stopped;
+        co_return unsent;
+    }
+    running_exchange exchange{
+        m_names, m_pool, std::move(request), stream, std::move(state)};
+    co_return co_await exchange.perform();
+}
+
+} // namespace briarhub
--- a/src/upstream_pool.cpp
+++ b/src/upstream_pool.cpp
@@ -61,7 +61,8 @@
         // The most recently used one is the least likely to be closed.
         upstream_connection_ptr connection = std::move(idle.back());
         idle.pop_back();
-        if (is_quiet(*connection))
+        bool const is_usable = runtime_clock::now() < connection->m_idle_limit;
+        if (is_usable && is_quiet(*connection))
         {
             connection->m_reused = true;
             return connection;
@@ -70,6 +71,25 @@
     return nullptr;
 }
 
+bool upstream_pool::has_idle(endpoint_address const& address) const
+{
+    auto const found = m_idle.find(address);
+    return found != m_idle.end() && !found->second.empty();
+}
+
+void upstream_pool::close_expired(time_point now)
+{
+    for (auto& [address, idle] : m_idle)
+    {
+        std::erase_if(
+            idle,
+            [now](upstream_connection_ptr const& connection)
+            {
+                return now >= connection->m_idle_limit;
+            });
+    }
+}
+
 upstream_connection_ptr upstream_pool::make(endpoint_address const& address)
 {
     return std::make_unique<upstream_connection>(m_io, address, m_open);
--- a/src/upstream_pool.hpp
+++ b/src/upstream_pool.hpp
@@ -39,6 +39,8 @@
     boost::beast::flat_buffer m_buffer;
     endpoint_address m_address;
     bool m_reused = false;
+    /// The upstream closes the connection if it is idle until then.
+    time_point m_idle_limit = time_point::max();
 
 private:
     std::size_t& m_open_count;
@@ -55,6 +57,12 @@
     /// An idle connection that the upstream has not closed, or null.
     upstream_connection_ptr take_idle(endpoint_address const& address);
 
+    /// An idle connection to the address is kept.
+    [[nodiscard]] bool has_idle(endpoint_address const& address) const;
+
+    /// Closes connections that reached their idle limit.
+    void close_expired(time_point now);
+
     /// A connection object that is not connected yet.
     upstream_connection_ptr make(endpoint_address const& address);
 
--- /dev/null
+++ b/tests/edge/stand_ins.py
@@ -0,0 +1,384 @@
+"""Small stand-ins for the users' platform: its store, endpoints and callers.
+
+They speak the published protocol and let a test cause faults. Only what the
+tests and the soak need is there.
+"""
+
+import asyncio
+import base64
+import json
+import struct
+import time
+
+
+async def read_head(reader):
+    """Request or status line and fields of one message; None at the end."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    fields = {}
+    for line in lines[1:]:
+        if line:
+            name, _, value = line.partition(":")
+            fields[name.strip().lower()] = value.strip()
+    return lines[0], fields
+
+
+async def read_message(reader):
+    """First line, fields and body of one message; None at the end."""
+    head = await read_head(reader)
+    if head is None:
+        return None
+    line, fields = head
+    try:
+        if fields.get("transfer-encoding", "").lower() == "chunked":
+            body = b""
+            while True:
+                size = int((await reader.readuntil(b"\r\n")).split(b";")[0], 16)
+                data = await reader.readexactly(size + 2)
+                if size == 0:
+                    break
+                body += data[:-2]
+        elif "content-length" in fields:
+            body = await reader.readexactly(int(fields["content-length"]))
+        elif line.startswith("HTTP/") and " 204" not in line:
+            body = await reader.read()
+        else:
+            body = b""
+    except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+        return None
+    return line, fields, body
+
+
+def response(status, fields, body=b""):
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in fields.items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class Server:
+    """A TCP server whose connections end when it stops."""
+
+    def __init__(self):
+        self.server = None
+        self.port = 0
+        self.writers = set()
+
+    async def listen(self, host="127.0.0.1", port=0):
+        self.server = await asyncio.start_server(self._connected, host, port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def _connected(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            await self.serve(reader, writer)
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def serve(self, reader, writer):
+        raise NotImplementedError
+
+    def drop_connections(self):
+        for writer in list(self.writers):
+            if writer.transport:
+                writer.transport.abort()
+
+    def stop(self):
+        if self.server:
+            self.server.close()
+        self.drop_connections()
+
+
+class Store(Server):
+    """The platform's store: keyed topics with long polls."""
+
+    def __init__(self):
+        super().__init__()
+        self.topics = {}
+        self.first = {}
+        self.changed = asyncio.Condition()
+        self.status = None  # answer every call with this status
+        self.is_silent = False
+        self.delay_s = 0.0
+        self.calls = 0
+
+    def records(self, topic):
+        return self.topics.setdefault(topic, [])
+
+    async def put(self, topic, key, value):
+        """Appends a record; `value` None drops the key."""
+        async with self.changed:
+            self.records(topic).append((key, value))
+            self.changed.notify_all()
+
+    async def forget_history(self, topic):
+        """Deletes the records but keeps the newest of each key."""
+        async with self.changed:
+            self.first[topic] = len(self.records(topic))
+            self.changed.notify_all()
+
+    def newest(self, topic):
+        found = {}
+        for offset, (key, value) in enumerate(self.records(topic)):
+            found[key] = (offset, value)
+        return {k: v for k, v in found.items() if v[1] is not None}
+
+    async def serve(self, reader, writer):
+        while True:
+            message = await read_message(reader)
+            if message is None:
+                return
+            self.calls += 1
+            if self.is_silent:
+                await asyncio.sleep(3600)
+            if self.delay_s:
+                await asyncio.sleep(self.delay_s)
+            line, _, body = message
+            if self.status:
+                writer.write(response(self.status, {}))
+            else:
+                method, target, _ = line.split(" ")
+                writer.write(await self.answer(method, target, body))
+            await writer.drain()
+
+    async def answer(self, method, target, body):
+        path, _, query = target.partition("?")
+        arguments = dict(item.split("=") for item in query.split("&") if item)
+        topic = arguments.get("topic", "")
+        if path == "/log-append":
+            at = 0
+            while at < len(body):
+                (length,) = struct.unpack(">I", body[at : at + 4])
+                content = body[at + 4 : at + 4 + length]
+                at += 4 + length
+                size = content[0]
+                key, value = content[1 : 1 + size], content[1 + size :]
+                await self.put(topic, key.decode(), value or None)
+            text = json.dumps({"end_offset": len(self.records(topic))})
+            return response(200, {}, text.encode())
+        if path == "/log-newest":
+            items = [
+                {
+                    "key": key,
+                    "value": base64.b64encode(value).decode(),
+                    "offset": offset,
+                }
+                for key, (offset, value) in self.newest(topic).items()
+            ]
+            end = len(self.records(topic))
+            text = {"items": items, "has_more": False, "end_offset": end}
+            return response(200, {}, json.dumps(text).encode())
+        if path == "/log-read":
+            return await self.read(topic, arguments)
+        return response(404, {})
+
+    async def read(self, topic, arguments):
+        start = int(arguments["from"])
+        wait_s = int(arguments.get("wait_ms", 0)) / 1000
+        if start < self.first.get(topic, 0):
+            text = json.dumps({"first_offset": self.first[topic]})
+            return response(410, {}, text.encode())
+
+        def is_there():
+            return len(self.records(topic)) > start
+
+        if wait_s and not is_there():
+            async with self.changed:
+                try:
+                    await asyncio.wait_for(self.changed.wait_for(is_there), wait_s)
+                except asyncio.TimeoutError:
+                    pass
+        records = self.records(topic)
+        text = struct.pack(">QQ", len(records), self.first.get(topic, 0))
+        for key, value in records[start:]:
+            content = bytes([len(key)]) + key.encode() + (value or b"")
+            text += struct.pack(">I", len(content)) + content
+        return response(200, {}, text)
+
+
+class Endpoint(Server):
+    """A back end that registers itself and counts what it runs."""
+
+    def __init__(self, store, name, service, slots=2, zone="z1"):
+        super().__init__()
+        self.store = store
+        self.name = name
+        self.service = service
+        self.slots = slots
+        self.zone = zone
+        self.state = "ready"
+        self.sequence = 0
+        self.born = int(time.time() * 1000)
+        self.work_s = 0.01
+        self.runs = []  # (time, request id, fields, body)
+        self.cancelled = []
+        self.fault = None  # callable(fields) -> name of a fault, or None
+        self.running = 0
+
+    async def register(self, **changes):
+        self.sequence += 1
+        entry = {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": self.state,
+            "warmup_left_ms": 0,
+            "sequence": self.sequence,
+            "born": self.born,
+        }
+        entry.update(changes)
+        text = json.dumps(entry).encode()
+        await self.store.put("keyed.servers", self.name, text)
+
+    async def unregister(self):
+        await self.store.put("keyed.servers", self.name, None)
+
+    def seal(self, request_id):
+        return f"seal-{self.name}-{request_id}"
+
+    async def serve(self, reader, writer):
+        while True:
+            message = await read_message(reader)
+            if message is None:
+                return
+            line, fields, body = message
+            request_id = fields.get("briarhub-request-id", "")
+            wanted = fields.get("briarhub-target-instance")
+            if wanted and wanted != self.name:
+                writer.write(
+                    response(421, {"Briarhub-Request-Id": request_id})
+                )
+                continue
+            fault = self.fault(fields) if self.fault else None
+            if fault == "shed":
+                writer.write(
+                    response(
+                        503,
+                        {
+                            "Briarhub-Request-Id": request_id,
+                            "Briarhub-Not-Executed": "1",
+                        },
+                    )
+                )
+                continue
+            self.runs.append((time.time(), request_id, fields, body, line))
+            if fault == "reset":
+                writer.transport.abort()
+                return
+            if fault == "hang":
+                try:
+                    await asyncio.wait_for(reader.read(1), 30)
+                except asyncio.TimeoutError:
+                    pass
+                self.cancelled.append(request_id)
+                return
+            self.running += 1
+            try:
+                await asyncio.sleep(self.work_s)
+            finally:
+                self.running -= 1
+            own = {
+                "Briarhub-Request-Id": request_id,
+                "Briarhub-Response-Seal": self.seal(request_id),
+                "Keep-Alive": "timeout=10",
+            }
+            text = f"answer of {self.name} to {request_id}".encode()
+            if fault == "error":
+                writer.write(response(500, own, b"failed"))
+            elif fault == "truncate":
+                writer.write(response(200, own, text)[:-4])
+                await writer.drain()
+                return
+            elif fault == "extra":
+                other = dict(own, **{"Briarhub-Request-Id": "other"})
+                writer.write(response(200, own, text))
+                writer.write(response(200, other, b"not yours"))
+            elif fault == "no_length":
+                head = "HTTP/1.1 200 X\r\nConnection: close\r\n"
+                head += "".join(
+                    f"{n}: {v}\r\n" for n, v in own.items() if n != "Keep-Alive"
+                )
+                writer.write(head.encode() + b"\r\n" + text)
+                await writer.drain()
+                return
+            elif fault == "large":
+                writer.write(response(200, own, b"x" * 6_000_000))
+            else:
+                writer.write(response(200, own, text))
+            await writer.drain()
+
+
+class Answer:
+    """What a caller got; `status` 0 means a closed connection."""
+
+    def __init__(self, status=0, fields=None, body=b"", took_s=0.0):
+        self.status = status
+        self.fields = fields or {}
+        self.body = body
+        self.took_s = took_s
+
+
+class Caller:
+    """A caller with one kept connection."""
+
+    def __init__(self, port):
+        self.port = port
+        self.reader = None
+        self.writer = None
+
+    async def connect(self):
+        self.reader, self.writer = await asyncio.open_connection(
+            "127.0.0.1", self.port
+        )
+
+    async def send(self, request_id, path, key="key-a", method="GET", body=b"",
+                   left_ms=2500, host="h.example", extra=""):
+        if self.writer is None:
+            await self.connect()
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            f"Host: {host}",
+            f"Briarhub-Request-Id: {request_id}",
+            f"Briarhub-Deadline-Remaining: {left_ms}",
+        ]
+        if key:
+            lines.append(f"Api-Key: {key}")
+        if body or method == "POST":
+            lines.append(f"Content-Length: {len(body)}")
+        if extra:
+            lines.append(extra)
+        self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        await self.writer.drain()
+
+    async def receive(self, started):
+        message = await read_message(self.reader)
+        took_s = time.time() - started
+        if message is None:
+            self.close()
+            return Answer(took_s=took_s)
+        line, fields, body = message
+        if fields.get("connection", "").lower() == "close":
+            self.close()
+        return Answer(int(line.split(" ")[1]), fields, body, took_s)
+
+    async def ask(self, request_id, path, **options):
+        started = time.time()
+        try:
+            await self.send(request_id, path, **options)
+            return await self.receive(started)
+        except (ConnectionError, OSError):
+            self.close()
+            return Answer(took_s=time.time() - started)
+
+    def close(self):
+        if self.writer:
+            self.writer.transport.abort()
+        self.reader = self.writer = None
