Test the edge process under faults; judge an outage by the peers

Each test starts real edge processes before stand-ins of the platform's store and endpoints. The outage test failed first: a VM took its peers' last words from before the outage for a sign that they reach the store, so entries that lapsed during the outage were dropped at once. A VM now judges after two seconds of failures.

--- a/src/state_feed.cpp
+++ b/src/state_feed.cpp
@@ -41,6 +41,9 @@
 /// have lapsed without fault.
 constexpr milliseconds outage_length{1000};
 
+/// After failing for so long it is known whether peers reach the store.
+constexpr milliseconds judgement_age{2000};
+
 constexpr milliseconds fetch_timeout{600};
 
 /// A peer of another domain is asked only if no near one has the state soon:
@@ -110,7 +113,6 @@
 {
     bool const is_woken = duty.m_reads && !m_duty.m_reads;
     m_duty = duty;
-    m_was_fed_while_failing = m_was_fed_while_failing || duty.m_is_fed;
     if (is_woken)
     {
         m_policy_timer.cancel();
@@ -327,13 +329,14 @@
         m_events.write(
             "store_regained",
             {{"away_ms", std::chrono::floor<milliseconds>(length).count()},
-             {"fed_by_peers", m_was_fed_while_failing}});
-        if (length >= outage_length && !m_was_fed_while_failing)
+             {"peers_had_it", m_peers_have_store.value_or(false)}});
+        if (length >= outage_length && !m_peers_have_store.value_or(false))
         {
             m_directory.store_returned(now);
         }
     }
     m_failing_since.reset();
+    m_peers_have_store.reset();
     m_failures = 0;
     m_held.m_has_store = true;
 }
@@ -350,10 +353,14 @@
     if (!m_failing_since)
     {
         m_failing_since = now;
-        m_was_fed_while_failing = m_duty.m_is_fed;
         m_events.write(
             "store_lost", {{"call", what}, {"reason", to_string(failure)}});
     }
+    // Before this age of the failure, peers' last words may be from before it.
+    if (!m_peers_have_store && now - *m_failing_since >= judgement_age)
+    {
+        m_peers_have_store = m_duty.m_is_fed;
+    }
     m_held.m_has_store = false;
 }
 
--- a/src/state_feed.hpp
+++ b/src/state_feed.hpp
@@ -118,7 +118,8 @@
     timer m_upstreams_timer;
     std::set<endpoint_address> m_fetching;
     std::optional<time_point> m_failing_since;
-    bool m_was_fed_while_failing = false;
+    /// While the store fails for this VM: peers reach it.
+    std::optional<bool> m_peers_have_store;
     unsigned m_failures = 0;
     bool m_is_stopped = false;
 };
--- /dev/null
+++ b/tests/edge/edge_test.py
@@ -0,0 +1,428 @@
+"""Faults at a fleet of real edge processes, seen from callers and endpoints.
+
+Each test names the failure that it guards against. Runs without the users'
+bench: `python3 tests/edge/edge_test.py [NAME...]`.
+"""
+
+import asyncio
+import os
+import signal
+import sys
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+
+from fleet import Fleet, limits, route, service, tenant, usual_resources  # noqa: E402
+
+
+def check(condition, message):
+    if not condition:
+        raise AssertionError(message)
+
+
+def runs_of(fleet, request_id):
+    return [
+        run for endpoint in fleet.endpoints for run in endpoint.runs
+        if run[1] == request_id
+    ]
+
+
+async def test_own_whole_answer():
+    """A caller that gets another's answer, or whose key reaches an upstream."""
+    async with Fleet() as fleet:
+        callers = [machine.caller() for machine in fleet.machines]
+        for number in range(30):
+            request_id = f"r{number}"
+            answer = await callers[number % 3].ask(
+                request_id, "/write/a?b=c", method="POST", body=b"payload",
+                extra="X-Own: 1",
+            )
+            check(answer.status == 200, answer.status)
+            check(request_id.encode() in answer.body, answer.body)
+            check("briarhub-response-seal" in answer.fields, answer.fields)
+            (run,) = runs_of(fleet, request_id)
+            _, _, fields, body, line = run
+            check(body == b"payload" and "/write/a?b=c" in line, line)
+            check("api-key" not in fields, "the key reached the upstream")
+            check(fields["briarhub-tenant-id"] == "acme", fields)
+            check(fields["x-own"] == "1", fields)
+            check(int(fields["briarhub-deadline-remaining"]) <= 1200, fields)
+
+
+async def test_refusals_by_policy():
+    """Proper requests denied, or improper ones run."""
+    async with Fleet() as fleet:
+        ask = fleet.machines[0].caller().ask
+        check((await ask("a", "/none/x")).status == 404, "no route")
+        check((await ask("b", "/read/x", key="bad")).status == 401, "bad key")
+        check((await ask("c", "/read/x", key=None)).status == 401, "no key")
+        check((await ask("d", "/read/x")).status == 200, "proper")
+        resources = usual_resources()
+        resources[0]["spec"]["public"] = True
+        await fleet.configure(resources)
+        await asyncio.sleep(1)
+        check((await ask("e", "/read/x", key=None)).status == 200, "public")
+
+
+async def test_failed_requests():
+    """A request that may not repeat runs twice; a repeatable one is lost."""
+    async with Fleet(machines=1) as fleet:
+        caller = fleet.machines[0].caller()
+        for fault, status in (("error", 500), ("reset", 502), ("truncate", 502)):
+            for endpoint in fleet.endpoints:
+                endpoint.fault = lambda fields, fault=fault: fault
+            answer = await caller.ask(f"w-{fault}", "/write/x", method="POST")
+            check(answer.status == status, (fault, answer.status))
+            check(len(runs_of(fleet, f"w-{fault}")) == 1, fault)
+        bad = fleet.endpoints[0]
+        for endpoint in fleet.endpoints:
+            endpoint.fault = None
+        await asyncio.sleep(3)
+        bad.fault = lambda fields: "reset"
+        served = 0
+        for number in range(40):
+            answer = await caller.ask(f"s{number}", "/read/x")
+            served += answer.status == 200
+            await asyncio.sleep(0.05)
+        check(served >= 39, f"served {served} of 40")
+
+
+async def test_shed_request_goes_elsewhere():
+    """A rejection by a full upstream is passed to the caller although another
+    upstream has room."""
+    async with Fleet(machines=1) as fleet:
+        caller = fleet.machines[0].caller()
+        for number in range(100):
+            # The retry budget grows with the requests.
+            await caller.ask(f"warm{number}", "/read/x")
+        await asyncio.sleep(6)
+        fleet.endpoints[0].fault = lambda fields: "shed"
+        for number in range(20):
+            answer = await caller.ask(f"w{number}", "/write/x", method="POST")
+            check(answer.status == 200, answer.status)
+            check(len(runs_of(fleet, f"w{number}")) == 1, "ran once")
+
+
+async def test_late_extra_answers():
+    """An answer to an earlier request is taken for the next one's."""
+    async with Fleet(machines=1, endpoints=1) as fleet:
+        caller = fleet.machines[0].caller()
+        fleet.endpoints[0].fault = lambda fields: "extra"
+        for number in range(10):
+            answer = await caller.ask(f"x{number}", "/read/x")
+            check(answer.status == 200, answer.status)
+            check(f"x{number}".encode() in answer.body, answer.body)
+
+
+async def test_answers_without_length_and_large_ones():
+    """Whole answers that are cut off, or broken ones that look whole."""
+    async with Fleet(machines=1, endpoints=1) as fleet:
+        caller = fleet.machines[0].caller()
+        fleet.endpoints[0].fault = lambda fields: "no_length"
+        answer = await caller.ask("n", "/read/x")
+        check(answer.status == 200 and b"to n" in answer.body, answer.body)
+        fleet.endpoints[0].fault = lambda fields: "large"
+        answer = await caller.ask("l", "/read/x")
+        check(len(answer.body) == 6_000_000, len(answer.body))
+
+
+async def test_route_time_limit():
+    """A caller is kept waiting beyond the route's time limit."""
+    async with Fleet(machines=1, endpoints=2) as fleet:
+        for endpoint in fleet.endpoints:
+            endpoint.fault = lambda fields: "hang"
+        caller = fleet.machines[0].caller()
+        answer = await caller.ask("t", "/write/x", method="POST")
+        check(answer.status == 504, answer.status)
+        check(1.1 < answer.took_s < 1.45, answer.took_s)
+
+
+async def test_caller_that_leaves():
+    """An upstream works on for a caller that is gone."""
+    async with Fleet(machines=1, endpoints=1) as fleet:
+        endpoint = fleet.endpoints[0]
+        endpoint.fault = lambda fields: "hang"
+        caller = fleet.machines[0].caller()
+        await caller.send("gone", "/read/x")
+        await fleet.until(lambda: endpoint.runs)
+        caller.close()
+        await fleet.until(lambda: "gone" in endpoint.cancelled, 0.5)
+
+
+async def test_no_upstream_says_when_to_return():
+    """A request that nobody can serve is held, or refused without a time."""
+    async with Fleet(machines=1, endpoints=1) as fleet:
+        fleet.endpoints[0].stop()
+        answer = await fleet.machines[0].caller().ask("n", "/read/x")
+        check(answer.status == 503, answer.status)
+        check(float(answer.fields["retry-after"]) < 1, answer.fields)
+        check(answer.took_s < 0.2, answer.took_s)
+
+
+async def test_rate_over_the_fleet():
+    """VMs that each grant an account's whole rate exceed it together."""
+    async with Fleet(machines=4) as fleet:
+        await asyncio.sleep(2.5)
+        callers = [machine.caller() for machine in fleet.machines]
+        statuses = []
+
+        async def press(caller, name):
+            end = time.time() + 5
+            number = 0
+            while time.time() < end:
+                number += 1
+                answer = await caller.ask(f"{name}-{number}", "/read/x", key="key-z")
+                statuses.append(answer)
+                await asyncio.sleep(0.01)
+
+        await asyncio.gather(
+            *(press(caller, n) for n, caller in enumerate(callers))
+        )
+        served = sum(answer.status == 200 for answer in statuses)
+        refused = [answer for answer in statuses if answer.status == 429]
+        check(served <= (20 * 5 + 20) * 1.1 + 20, f"served {served}")
+        check(served >= 90, f"served {served}")
+        check(all("retry-after" in a.fields for a in refused), "no time")
+
+
+async def test_withdrawn_key_at_cut_off_vm():
+    """A VM that the store turns away keeps accepting a withdrawn key."""
+    async with Fleet(machines=3) as fleet:
+        await asyncio.sleep(2.5)
+        cut = fleet.machines[1]
+        # A store that refuses everything stands in for one that turns this
+        # machine away.
+        refusing = type(fleet.store)()
+        refusing.status = 503
+        await refusing.listen()
+        await cut.kill()
+        cut.write_settings(store_port=refusing.port)
+        cut.start()
+        await fleet.until(cut.is_ready, 5)
+        caller = cut.caller()
+        check((await caller.ask("k1", "/read/x")).status == 200, "before")
+        resources = [
+            item for item in usual_resources()
+            if item["metadata"].get("name") != "acme"
+        ]
+        resources.append(tenant("acme", ["key-new"]))
+        await fleet.configure(resources)
+        await asyncio.sleep(2)
+        check((await caller.ask("k2", "/read/x")).status == 401, "withdrawn")
+        check(
+            (await caller.ask("k3", "/read/x", key="key-new")).status == 200,
+            "issued",
+        )
+        refusing.stop()
+
+
+async def test_draining_upstream_gets_nothing():
+    """An upstream that leaves receives new work."""
+    async with Fleet(machines=3) as fleet:
+        await asyncio.sleep(2.5)
+        leaving = fleet.endpoints[0]
+        leaving.state = "draining"
+        await leaving.register()
+        announced = time.time()
+        callers = [machine.caller() for machine in fleet.machines]
+        while time.time() < announced + 4:
+            for number, caller in enumerate(callers):
+                await caller.ask(f"d{number}-{time.time()}", "/read/x")
+        late = [run for run in leaving.runs if run[0] > announced + 2]
+        check(not late, f"{len(late)} requests after the bound")
+
+
+async def test_store_outage_and_lapses():
+    """Upstreams whose entries lapse while the store is away are given up."""
+    async with Fleet(machines=2) as fleet:
+        await asyncio.sleep(2.5)
+        caller = fleet.machines[0].caller()
+        fleet.store.status = 503
+        await asyncio.sleep(4)
+        check((await caller.ask("o1", "/read/x")).status == 200, "in outage")
+        fleet.heartbeats.cancel()
+        for endpoint in fleet.endpoints:
+            await endpoint.unregister()
+        fleet.store.status = None
+        await asyncio.sleep(1.2)
+        check((await caller.ask("o2", "/read/x")).status == 200, "after it")
+        for endpoint in fleet.endpoints:
+            await endpoint.register()
+        await asyncio.sleep(2.5)
+        check((await caller.ask("o3", "/read/x")).status == 200, "returned")
+
+
+async def test_lost_history():
+    """A change is missed when the store forgets its history."""
+    async with Fleet(machines=2) as fleet:
+        await asyncio.sleep(2.5)
+        resources = usual_resources()
+        resources.append(route("fresh", "/fresh/", "desk"))
+        await fleet.configure(resources)
+        await fleet.store.forget_history("keyed.op")
+        await fleet.store.forget_history("keyed.servers")
+        await asyncio.sleep(2)
+        for machine in fleet.machines:
+            answer = await machine.caller().ask("f", "/fresh/x")
+            check(answer.status == 200, answer.status)
+
+
+async def test_stop_drops_nothing():
+    """A graceful stop cuts a request, or a VM stays in rotation."""
+    async with Fleet(machines=2) as fleet:
+        for endpoint in fleet.endpoints:
+            endpoint.work_s = 0.2
+        machine = fleet.machines[0]
+        results = []
+
+        async def use(number):
+            caller = machine.caller()
+            count = 0
+            while True:
+                count += 1
+                answer = await caller.ask(f"s{number}-{count}", "/write/x", method="POST")
+                sent = time.time() - answer.took_s
+                results.append((sent, answer))
+                if caller.writer is None:
+                    return
+
+        users = [asyncio.ensure_future(use(n)) for n in range(6)]
+        await asyncio.sleep(0.5)
+        machine.signal(signal.SIGTERM)
+        await asyncio.sleep(0.2)
+        check(not await machine.is_ready(), "still in rotation")
+        code = await asyncio.wait_for(machine.wait(), 4)
+        await asyncio.gather(*users)
+        check(code == 0, code)
+        lost = [answer for _, answer in results if answer.status != 200]
+        check(not lost, f"{len(lost)} of {len(results)} requests were cut")
+
+
+async def test_reload_keeps_serving():
+    """SIGHUP ends the process or its settings are not read again."""
+    async with Fleet(machines=1) as fleet:
+        machine = fleet.machines[0]
+        caller = machine.caller()
+        check((await caller.ask("h1", "/read/x")).status == 200, "before")
+        machine.write_settings(bounds=["grace_s=2", "retry_budget_extra=10"])
+        machine.signal(signal.SIGHUP)
+        await fleet.until(lambda: machine.events("reload"))
+        check(machine.events("reload")[0]["changed"], "no change seen")
+        check((await caller.ask("h2", "/read/x")).status == 200, "after")
+        machine.write_settings(node=None)
+        machine.signal(signal.SIGHUP)
+        await fleet.until(lambda: machine.events("reload_failed"))
+        check((await caller.ask("h3", "/read/x")).status == 200, "bad file")
+
+
+async def test_restart_serves_soon():
+    """A restarted VM needs seconds until it serves again."""
+    async with Fleet(machines=3) as fleet:
+        machine = fleet.machines[2]
+        await machine.kill()
+        started = time.time()
+        machine.start()
+        await fleet.until(machine.is_ready, 2)
+        answer = await machine.caller().ask("r", "/read/x")
+        check(answer.status == 200, answer.status)
+        check(time.time() - started < 1, time.time() - started)
+
+
+async def test_split_keeps_weights():
+    """A service of a split gets another share than its weight says."""
+    async with Fleet(machines=2) as fleet:
+        await fleet.add_endpoint("v-0", "vault")
+        split = [
+            {"service": "desk", "weight": 80}, {"service": "vault", "weight": 20}
+        ]
+        changed = route("read", "/read/", "desk")
+        del changed["spec"]["service"]
+        changed["spec"]["traffic_split"] = split
+        resources = [changed] + usual_resources()[1:] + [service("vault")]
+        await fleet.configure(resources)
+        await asyncio.sleep(1.5)
+        callers = [machine.caller() for machine in fleet.machines]
+        for number in range(400):
+            await callers[number % 2].ask(f"p{number}", "/read/x")
+        share = len(fleet.endpoints[-1].runs) / 400
+        check(0.13 < share < 0.27, share)
+
+
+async def test_limits_on_callers():
+    """A slow or oversized caller holds the VM, or a proper one is cut."""
+    async with Fleet(machines=1) as fleet:
+        resources = usual_resources()[:-1] + [limits(idle_ms=700)]
+        await fleet.configure(resources)
+        await asyncio.sleep(1)
+        machine = fleet.machines[0]
+        caller = machine.caller()
+        await caller.connect()
+        caller.writer.write(b"GET /read/x HT")
+        answer = await caller.receive(time.time())
+        check(answer.status == 408, answer.status)
+        check(0.8 < answer.took_s < 1.5, answer.took_s)
+        idle = machine.caller()
+        check((await idle.ask("i1", "/read/x")).status == 200, "first")
+        await asyncio.sleep(0.5)
+        check((await idle.ask("i2", "/read/x")).status == 200, "reused")
+        started = time.time()
+        check(await idle.reader.read() == b"", "closed when idle")
+        check(time.time() - started < 1.2, "idle limit")
+        big = machine.caller()
+        answer = await big.ask("b", "/write/x", method="POST", body=b"x" * (2 << 20))
+        check(answer.status in (0, 413), answer.status)
+
+
+async def test_explaining_a_failure():
+    """A failed request leaves no line that names its cause."""
+    async with Fleet(machines=1, endpoints=1) as fleet:
+        machine = fleet.machines[0]
+        caller = machine.caller()
+        fleet.endpoints[0].fault = lambda fields: "error"
+        await caller.ask("failed-1", "/write/x", method="POST")
+        for number in range(60):
+            await caller.ask(f"over-{number}", "/read/x", key="key-z")
+        fleet.endpoints[0].stop()
+        await asyncio.sleep(0.1)
+        await caller.ask("unserved-1", "/write/x", method="POST")
+        await fleet.until(
+            lambda: any(e["request"] == "unserved-1" for e in machine.events("request"))
+        )
+        lines = {e["request"]: e for e in machine.events("request")}
+        failed = lines["failed-1"]
+        check(failed["outcome"] == "upstream_failure", failed)
+        check(failed["attempts"][0]["upstream"] == "i-0", failed)
+        check(failed["attempts"][0]["status"] == 500, failed)
+        check(failed["policy"] == fleet.version, failed)
+        over = [e for e in lines.values() if e["outcome"] == "over_rate"]
+        check(over and all(e["account"] == "zeta" for e in over), over)
+        check(lines["unserved-1"]["outcome"] == "no_upstream", lines["unserved-1"])
+        check(lines["unserved-1"]["attempts"][0]["end"] == "refused", lines)
+        log = open(machine.log_path, encoding="utf-8").read()
+        check("key-a" not in log and "key-z" not in log, "a key was logged")
+        _, text = await machine.get(9464, "/metrics")
+        for name in ("briarhub_refusals_total", "briarhub_request_seconds_bucket",
+                     "briarhub_policy_version", "briarhub_upstreams"):
+            check(name.encode() in text, name)
+
+
+def main():
+    names = sys.argv[1:]
+    tests = [
+        (name, test) for name, test in globals().items()
+        if name.startswith("test_") and (not names or name in names)
+    ]
+    failed = []
+    for name, test in tests:
+        try:
+            asyncio.run(asyncio.wait_for(test(), 60))
+            print(f"passed {name}", flush=True)
+        except Exception as error:  # pylint: disable=broad-except
+            failed.append(name)
+            print(f"FAILED {name}: {type(error).__name__}: {error}", flush=True)
+    print(f"{len(tests) - len(failed)} passed, {len(failed)} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/edge_policy_test.cpp
@@ -0,0 +1,561 @@
+#include "caller_key.hpp"
+#include "fleet_caps.hpp"
+#include "gossip_message.hpp"
+#include "peer_table.hpp"
+#include "policy_index.hpp"
+#include "sickness.hpp"
+#include "upstream_board.hpp"
+#include "upstream_directory.hpp"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace briarhub;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+time_point at(std::chrono::milliseconds offset)
+{
+    return time_point{} + 1h + offset;
+}
+
+upstream_entry make_entry(
+    std::string const& id,
+    std::uint64_t born = 1,
+    std::uint64_t sequence = 1,
+    vm_state state = vm_state::live)
+{
+    upstream_entry entry;
+    entry.m_upstream.m_id = id;
+    entry.m_upstream.m_service = "desk";
+    entry.m_upstream.m_failure_domain = "z1";
+    entry.m_upstream.m_address = "10.0.0.1:80";
+    entry.m_upstream.m_slots = 2;
+    entry.m_upstream.m_state = state;
+    entry.m_born = born;
+    entry.m_sequence = sequence;
+    return entry;
+}
+
+/// Records of the test hold "born sequence state" or are not readable.
+std::variant<upstream_entry, decode_failure>
+decode_test(std::string_view key, std::string_view value)
+{
+    unsigned born = 0;
+    unsigned sequence = 0;
+    char state = 0;
+    std::string const text{value};
+    if (std::sscanf(text.c_str(), "%u %u %c", &born, &sequence, &state) != 3)
+    {
+        return decode_failure{"unreadable"};
+    }
+    return make_entry(
+        std::string{key},
+        born,
+        sequence,
+        state == 'd' ? vm_state::leaving : vm_state::live);
+}
+
+upstream_directory make_directory(std::vector<std::string>* rejected = nullptr)
+{
+    return upstream_directory{
+        decode_test,
+        [rejected](std::string const& key, std::string const&)
+        {
+            if (rejected != nullptr)
+            {
+                rejected->push_back(key);
+            }
+        }};
+}
+
+store_record put(std::string key, std::string value, log_offset offset)
+{
+    return {std::move(key), std::move(value), offset};
+}
+
+store_record removal(std::string key, log_offset offset)
+{
+    return {std::move(key), std::nullopt, offset};
+}
+
+bool apply_one(
+    upstream_directory& directory, time_point now, store_record const& record)
+{
+    return directory.apply(now, std::vector{record});
+}
+
+choice_request ask(bool is_idempotent)
+{
+    choice_request request;
+    request.m_service = "desk";
+    request.m_is_idempotent = is_idempotent;
+    request.m_latency_target = 500ms;
+    return request;
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the host's routes wins")
+{
+    // A request that ran on a shorter prefix's service would run where no
+    // configuration sends it.
+    fleet_policy policy;
+    for (auto const& [host, prefix] :
+         std::vector<std::pair<std::string, std::string>>{
+             {"a.example", "/x/"}, {"a.example", "/x/y/"}, {"b.example", "/"}})
+    {
+        route_policy route;
+        route.m_name = host + prefix;
+        route.m_host = host;
+        route.m_path_prefix = prefix;
+        policy.m_routes.push_back(route);
+    }
+    policy_index const index{policy};
+    CHECK(index.find_route("a.example", "/x/y/z")->m_name == "a.example/x/y/");
+    CHECK(index.find_route("A.example:80", "/x/q")->m_name == "a.example/x/");
+    CHECK(index.find_route("a.example", "/x") == nullptr);
+    CHECK(index.find_route("a.example", "/") == nullptr);
+    CHECK(index.find_route("b.example", "/any")->m_name == "b.example/");
+    CHECK(index.find_route("c.example", "/x/") == nullptr);
+}
+
+TEST_CASE("an account is found by each of its keys and by no other text")
+{
+    fleet_policy policy;
+    account_policy account;
+    account.m_name = "acme";
+    account.m_key_digests = {sha256_hex("one"), sha256_hex("two")};
+    policy.m_accounts.push_back(account);
+    policy_index const index{policy};
+    CHECK(index.find_account("one")->m_name == "acme");
+    CHECK(index.find_account("two")->m_name == "acme");
+    CHECK(index.find_account("") == nullptr);
+    CHECK(index.find_account(sha256_hex("one")) == nullptr);
+}
+
+TEST_CASE("one failure is a suspicion, a second one a verdict")
+{
+    // A sound upstream fails 1% of its requests; ejecting it at the first
+    // failure would cost capacity, waiting for many would cost requests.
+    sickness state{upstream_rates, at(0ms)};
+    for (int i = 1; i <= 20; ++i)
+    {
+        state.observe(at(i * 200ms), sign::served);
+    }
+    CHECK(state.probability(at(4100ms)) < 0.03);
+    state.observe(at(4200ms), sign::failed);
+    double const suspicion = state.probability(at(4200ms));
+    CHECK(suspicion > 0.15);
+    CHECK(suspicion < 0.6);
+    state.observe(at(4300ms), sign::failed);
+    CHECK(state.probability(at(4300ms)) > 0.9);
+}
+
+TEST_CASE("a belief without evidence returns to the long-run mean")
+{
+    // An upstream that recovered must get requests again without probes.
+    sickness state{upstream_rates, at(0ms)};
+    state.observe(at(0ms), sign::failed);
+    state.observe(at(1ms), sign::failed);
+    CHECK(state.probability(at(1ms)) > 0.9);
+    CHECK(state.probability(at(30s)) < 0.3);
+}
+
+TEST_CASE("requests that may not repeat avoid a suspect, others test it")
+{
+    upstream_board board{"z1", 7};
+    std::vector<upstream_entry> entries;
+    for (int i = 0; i < 6; ++i)
+    {
+        entries.push_back(make_entry("u" + std::to_string(i)));
+    }
+    board.set_upstreams(at(0ms), entries);
+    auto const sick = tag_of(entries[0]);
+    for (auto const& entry : entries)
+    {
+        board.observe(at(10ms), tag_of(entry), sign::served);
+    }
+    board.observe(at(20ms), sick, sign::failed);
+    board.observe(at(30ms), sick, sign::failed);
+    std::map<upstream_id, int> once;
+    std::map<upstream_id, int> repeatable;
+    for (int i = 0; i < 300; ++i)
+    {
+        // The others have fresh evidence; the suspect has none.
+        auto const now = at(2500ms);
+        for (std::size_t k = 1; k < entries.size(); ++k)
+        {
+            board.observe(now, tag_of(entries[k]), sign::served);
+        }
+        ++once[board.choose(now, ask(false))->m_upstream.m_id];
+        ++repeatable[board.choose(now, ask(true))->m_upstream.m_id];
+    }
+    CHECK(!once.contains("u0"));
+    CHECK(once.size() == 5);
+    CHECK(repeatable["u0"] > 0);
+}
+
+TEST_CASE("a suspect gets one test request at a time")
+{
+    upstream_board board{"z1", 7};
+    std::vector<upstream_entry> const entries{
+        make_entry("u0"), make_entry("u1")};
+    board.set_upstreams(at(0ms), entries);
+    auto const sick = tag_of(entries[0]);
+    board.observe(at(1ms), sick, sign::failed);
+    board.observe(at(2ms), sick, sign::failed);
+    board.attempt_started(sick);
+    for (int i = 0; i < 100; ++i)
+    {
+        CHECK(board.choose(at(2000ms), ask(true))->m_upstream.m_id == "u1");
+    }
+}
+
+TEST_CASE("peers' requests in flight count until they are old")
+{
+    // Choices that see only this VM's own load would overfill two slots.
+    upstream_board board{"z1", 7};
+    std::vector<upstream_entry> const entries{make_entry("u0")};
+    board.set_upstreams(at(0ms), entries);
+    auto const tag = tag_of(entries[0]);
+    upstream_news news;
+    news.m_upstream = tag;
+    news.m_in_flight = 3;
+    board.receive(at(0ms), 1, 5, std::vector{news});
+    news.m_in_flight = 0;
+    board.receive(at(1ms), 1, 4, std::vector{news});
+    CHECK(board.in_flight(at(2ms), tag) == 3);
+    board.receive(at(3ms), 1, 6, std::vector{news});
+    CHECK(board.in_flight(at(3ms), tag) == 0);
+    news.m_in_flight = 2;
+    board.receive(at(4ms), 2, 1, std::vector{news});
+    CHECK(board.in_flight(at(100ms), tag) == 2);
+    CHECK(board.in_flight(at(5s), tag) == 0);
+}
+
+TEST_CASE("a full upstream gets nothing, a retired one neither")
+{
+    upstream_board board{"z1", 7};
+    std::vector<upstream_entry> const entries{
+        make_entry("u0"), make_entry("u1")};
+    board.set_upstreams(at(0ms), entries);
+    for (int i = 0; i < 8; ++i)
+    {
+        board.attempt_started(tag_of(entries[0]));
+    }
+    CHECK(board.choose(at(0ms), ask(false))->m_upstream.m_id == "u1");
+    board.retire(tag_of(entries[1]));
+    CHECK(!board.choose(at(0ms), ask(false)));
+}
+
+TEST_CASE("an upstream that started again is believed anew")
+{
+    upstream_board board{"z1", 7};
+    std::vector<upstream_entry> first{make_entry("u0", 1)};
+    board.set_upstreams(at(0ms), first);
+    board.observe(at(0ms), tag_of(first[0]), sign::failed);
+    board.observe(at(0ms), tag_of(first[0]), sign::failed);
+    std::vector<upstream_entry> second{make_entry("u0", 2)};
+    board.set_upstreams(at(1ms), second);
+    CHECK(board.sickness_of(at(1ms), tag_of(second[0])) < 0.3);
+}
+
+TEST_CASE("rates hold over the fleet in any window")
+{
+    // Ten VMs admit what they can; each learns of the others' requests 50 ms
+    // late. The sum stays within rate, burst and the stated slack.
+    constexpr int vms = 10;
+    constexpr double rate = 50;
+    constexpr double burst = 50;
+    account_policy account;
+    account.m_name = "acme";
+    account.m_rate = rate;
+    account.m_burst = burst;
+    std::vector<fleet_caps> fleet;
+    for (int i = 0; i < vms; ++i)
+    {
+        fleet.emplace_back(at(0ms), retry_bounds{});
+        fleet.back().set_accounts(at(0ms), {account});
+        fleet.back().set_view(at(0ms), {vms, vms});
+    }
+    std::vector<std::chrono::milliseconds> admitted;
+    for (auto now = 0ms; now < 20s; now += 10ms)
+    {
+        for (auto& vm : fleet)
+        {
+            if (vm.try_admit(at(now), "acme"))
+            {
+                admitted.push_back(now);
+            }
+        }
+        if (now % 50ms != 0ms)
+        {
+            continue;
+        }
+        for (int from = 0; from < vms; ++from)
+        {
+            auto const totals = fleet[from].take_totals(false);
+            for (int to = 0; to < vms; ++to)
+            {
+                if (to != from)
+                {
+                    fleet[to].receive(
+                        at(now), static_cast<vm_tag>(from + 1), 1, totals);
+                }
+            }
+        }
+    }
+    constexpr double bound = (rate * 5 + burst) * 1.1 + 20;
+    double most = 0;
+    for (auto const start : admitted)
+    {
+        double in_window = 0;
+        for (auto const each : admitted)
+        {
+            in_window += each >= start && each < start + 5s ? 1 : 0;
+        }
+        most = std::max(most, in_window);
+    }
+    CHECK(most <= bound);
+    CHECK(static_cast<double>(admitted.size()) >= 0.9 * rate * 20);
+}
+
+TEST_CASE("a VM that hears nobody uses a small part of a rate")
+{
+    // A VM that is cut off must not spend the whole fleet's allowance.
+    fleet_caps caps{at(0ms), retry_bounds{}};
+    account_policy account;
+    account.m_name = "acme";
+    account.m_rate = 100;
+    account.m_burst = 10;
+    caps.set_accounts(at(0ms), {account});
+    caps.set_view(at(0ms), {1, 20});
+    int admitted = 0;
+    for (auto now = 0ms; now < 10s; now += 5ms)
+    {
+        admitted += caps.try_admit(at(now), "acme") ? 1 : 0;
+    }
+    CHECK(admitted <= 10 + 100 * 10 * 0.16);
+}
+
+TEST_CASE("retries stay within the share of requests and the extra")
+{
+    retry_bounds bounds;
+    bounds.m_ratio = 0.2;
+    bounds.m_extra = 50;
+    fleet_caps caps{at(0ms), bounds};
+    caps.set_view(at(0ms), {1, 1});
+    int retried = 0;
+    for (auto now = 0ms; now < 10s; now += 10ms)
+    {
+        caps.note_arrival(at(now), "desk");
+        retried += caps.try_retry(at(now), "desk") ? 1 : 0;
+    }
+    CHECK(retried <= 0.2 * 1000 + 50);
+    CHECK(retried >= 100);
+}
+
+TEST_CASE("a peer's totals count once, also after its restart")
+{
+    fleet_caps caps{at(0ms), retry_bounds{0.0, 100.0, 10s}};
+    caps.set_view(at(0ms), {2, 2});
+    auto const total = [](std::uint64_t count)
+    {
+        return std::vector<usage_count>{
+            {usage_kind::retried, short_hash("desk"), count}};
+    };
+    caps.receive(at(10s), 1, 7, total(10));
+    caps.receive(at(10s), 1, 7, total(10));
+    caps.receive(at(10s), 1, 7, total(9));
+    caps.receive(at(10s), 1, 8, total(5));
+    int granted = 0;
+    while (caps.try_retry(at(10s), "desk"))
+    {
+        ++granted;
+    }
+    CHECK(granted == 80 - 15);
+}
+
+TEST_CASE("records that cannot be read name no upstream; the rest holds")
+{
+    std::vector<std::string> rejected;
+    auto directory = make_directory(&rejected);
+    CHECK(apply_one(directory, at(0ms), put("a", "1 1 r", 1)));
+    CHECK(!apply_one(directory, at(0ms), put("a", "forged", 2)));
+    CHECK(!apply_one(directory, at(0ms), put("b", "\x01\xff", 3)));
+    CHECK(rejected == std::vector<std::string>{"a", "b"});
+    CHECK(directory.usable().size() == 1);
+}
+
+TEST_CASE("older announcements and stale reads change nothing")
+{
+    auto directory = make_directory();
+    apply_one(directory, at(0ms), put("a", "5 7 d", 10));
+    CHECK(directory.usable().empty());
+    CHECK(!apply_one(directory, at(0ms), put("a", "5 6 r", 11)));
+    CHECK(!apply_one(directory, at(0ms), put("a", "4 90 r", 12)));
+    CHECK(!apply_one(directory, at(0ms), put("a", "5 9 r", 9)));
+    CHECK(directory.usable().empty());
+    CHECK(apply_one(directory, at(0ms), put("a", "6 1 r", 13)));
+    CHECK(directory.usable().size() == 1);
+}
+
+TEST_CASE("a removal that is newer than what a stale read brings stands")
+{
+    auto directory = make_directory();
+    apply_one(directory, at(0ms), put("a", "1 1 r", 1));
+    CHECK(apply_one(directory, at(0ms), removal("a", 5)));
+    CHECK(!directory.replace(at(0ms), std::vector{put("a", "1 2 r", 4)}));
+    CHECK(directory.usable().empty());
+    CHECK(apply_one(directory, at(0ms), put("a", "1 3 r", 6)));
+}
+
+TEST_CASE("entries that lapsed while the store was away get time to return")
+{
+    auto directory = make_directory();
+    apply_one(directory, at(0ms), put("a", "1 1 r", 1));
+    apply_one(directory, at(0ms), put("b", "1 1 r", 2));
+    directory.store_returned(at(1s));
+    CHECK(!apply_one(directory, at(1100ms), removal("a", 3)));
+    CHECK(!apply_one(directory, at(1100ms), removal("b", 4)));
+    CHECK(directory.usable().size() == 2);
+    apply_one(directory, at(2s), put("a", "1 2 r", 5));
+    CHECK(directory.expire(at(3100ms)));
+    REQUIRE(directory.usable().size() == 1);
+    CHECK(directory.usable()[0].m_upstream.m_id == "a");
+    // Without an outage a removal is in force at once.
+    CHECK(apply_one(directory, at(10s), removal("a", 6)));
+    CHECK(directory.usable().empty());
+}
+
+TEST_CASE("a peer catches up from the journal of changes")
+{
+    auto directory = make_directory();
+    apply_one(directory, at(0ms), put("a", "1 1 r", 1));
+    apply_one(directory, at(0ms), put("b", "1 1 r", 2));
+    auto peer = make_directory();
+    peer.adopt(at(0ms), directory.changes_since(0));
+    CHECK(peer.usable().size() == 2);
+    apply_one(directory, at(0ms), put("b", "1 2 r", 3));
+    CHECK(directory.last_change() == 2);
+    apply_one(directory, at(0ms), removal("a", 4));
+    apply_one(directory, at(0ms), put("c", "1 1 r", 5));
+    auto const news = directory.changes_since(peer.last_change());
+    CHECK(!news.m_is_whole);
+    CHECK(news.m_records.size() == 2);
+    CHECK(peer.adopt(at(0ms), news));
+    CHECK(peer.last_change() == directory.last_change());
+    std::set<upstream_id> ids;
+    for (auto const& entry : peer.usable())
+    {
+        ids.insert(entry.m_upstream.m_id);
+    }
+    CHECK(ids == std::set<upstream_id>{"b", "c"});
+}
+
+TEST_CASE("gossip messages survive encoding; other bytes are refused")
+{
+    gossip_message message;
+    message.m_origin = {0x0a010203, short_hash("z1")};
+    message.m_run = 9;
+    message.m_sequence = 77;
+    message.m_pass_on = true;
+    upstream_news news;
+    news.m_upstream = 5;
+    news.m_in_flight = 2;
+    news.m_signs[static_cast<std::size_t>(sign::failed)] = 3;
+    message.m_upstreams = {news};
+    message.m_usage = {{usage_kind::arrived, 4, 1000}};
+    message.m_suspects = {{"digest", 2}};
+    message.m_state = {12, 34, true, true};
+    message.m_members = {{1, 2}};
+    auto const bytes = encode(message);
+    CHECK(decode_gossip(bytes) == message);
+    CHECK(!decode_gossip(""));
+    CHECK(!decode_gossip("no protobuf"));
+    for (std::size_t length = 0; length < bytes.size(); ++length)
+    {
+        // Must neither crash nor read past the end.
+        static_cast<void>(decode_gossip(bytes.substr(0, length)));
+    }
+}
+
+TEST_CASE("news goes to neighbours and to one VM of each other domain")
+{
+    auto const near = short_hash("z1");
+    auto const far = short_hash("z2");
+    peer_table table{{1, near}, 3};
+    for (vm_tag vm = 2; vm <= 5; ++vm)
+    {
+        table.add(at(0ms), {vm, vm <= 3 ? near : far});
+    }
+    gossip_message message;
+    message.m_origin = {5, far};
+    message.m_run = 1;
+    message.m_sequence = 1;
+    CHECK(table.hear(at(0ms), message));
+    CHECK(!table.hear(at(1ms), message));
+    auto const chosen = table.destinations(at(10ms));
+    REQUIRE(chosen.size() == 3);
+    CHECK(chosen[2].m_vm == 5);
+    CHECK(chosen[2].m_pass_on);
+    CHECK(!chosen[0].m_pass_on);
+    CHECK(table.view(at(10ms)) == fleet_view{2, 5});
+    table.forget_silent(at(30s));
+    CHECK(table.members().size() == 1);
+}
+
+TEST_CASE("one live VM of each domain that reaches the store reads it")
+{
+    auto const domain = short_hash("z1");
+    std::vector<peer_table> tables;
+    for (vm_tag vm = 1; vm <= 4; ++vm)
+    {
+        tables.emplace_back(peer_address{vm, domain}, vm);
+    }
+    auto const hear_all =
+        [&](time_point now, std::uint64_t sequence, vm_tag dead)
+    {
+        for (auto& table : tables)
+        {
+            for (vm_tag vm = 1; vm <= 4; ++vm)
+            {
+                gossip_message message;
+                message.m_origin = {vm, domain};
+                message.m_run = 1;
+                message.m_sequence = sequence;
+                message.m_state.m_has_store = vm != dead;
+                if (vm != table.self().m_vm)
+                {
+                    table.hear(now, message);
+                }
+            }
+        }
+    };
+    hear_all(at(0ms), 1, 0);
+    std::vector<vm_tag> readers;
+    for (auto const& table : tables)
+    {
+        if (table.should_follow(at(10ms)))
+        {
+            readers.push_back(table.self().m_vm);
+        }
+    }
+    REQUIRE(readers.size() == 1);
+    // Cut off from the store, it is replaced.
+    hear_all(at(500ms), 2, readers[0]);
+    int others = 0;
+    for (auto const& table : tables)
+    {
+        bool const is_other = table.self().m_vm != readers[0];
+        others += is_other && table.should_follow(at(510ms)) ? 1 : 0;
+    }
+    CHECK(others == 1);
+}
--- /dev/null
+++ b/tests/wire_decode_test.cpp
@@ -0,0 +1,213 @@
+#include "caller_key.hpp"
+#include "wire_decode.hpp"
+
+#include <doctest/doctest.h>
+
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace briarhub;
+using namespace briarhub::platform;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::string const configuration = R"({"version":7,"unknown":1,"resources":[
+{"resource_kind":"routes","metadata":{"name":"r1"},"spec":{
+ "hostname":"a.example","path_prefix":"/x/","kind":"non_idempotent",
+ "timeout_ms":1500,"target_latency_ms":500,"priority":1,"service":"s1",
+ "max_attempts":2,"public":false}},
+{"resource_kind":"routes","metadata":{"name":"r2"},"spec":{
+ "hostname":"a.example","path_prefix":"/y/","kind":"download",
+ "timeout_ms":1200,"target_latency_ms":400,"priority":2,
+ "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+ "max_attempts":3,"public":true}},
+{"resource_kind":"services","metadata":{"name":"s1"},"spec":{}},
+{"resource_kind":"novelty","metadata":{"name":"n"},"spec":{}},
+{"resource_kind":"tenants","metadata":{"name":"t1"},"spec":{
+ "api_keys":["k1","k2"],"priority":0,"rate_per_s":48,"burst":40}},
+{"resource_kind":"limits","metadata":{},"spec":{"max_header_bytes":16384,
+ "max_body_bytes":1000,"header_timeout_ms":3000,"idle_timeout_ms":9000}}]})";
+
+std::string const entry =
+    R"({"service":"s1","address":"10.0.0.9:8080","zone":"z1","version":"v1",)"
+    R"("slots":2,"state":"ready","warmup_left_ms":3000,"sequence":4,)"
+    R"("born":1700000000000})";
+
+std::string replaced(std::string text, std::string from, std::string to)
+{
+    auto const place = text.find(from);
+    REQUIRE(place != std::string::npos);
+    return text.replace(place, from.size(), to);
+}
+
+bool is_refused(std::string const& text)
+{
+    return std::holds_alternative<decode_failure>(decode_upstream("i-1", text));
+}
+
+} // namespace
+
+TEST_CASE("a configuration is decoded whole")
+{
+    auto const decoded = decode_policy(configuration);
+    REQUIRE(std::holds_alternative<fleet_policy>(decoded));
+    auto const& policy = std::get<fleet_policy>(decoded);
+    CHECK(policy.m_version == 7);
+    REQUIRE(policy.m_routes.size() == 2);
+    CHECK(!policy.m_routes[0].m_is_idempotent);
+    CHECK(policy.m_routes[0].m_time_limit == 1500ms);
+    CHECK(policy.m_routes[1].m_is_idempotent);
+    CHECK(policy.m_routes[1].m_is_public);
+    CHECK(policy.m_routes[1].m_parts.size() == 2);
+    CHECK(policy.m_routes[1].m_parts[1].m_weight == 10);
+    REQUIRE(policy.m_accounts.size() == 1);
+    CHECK(policy.m_accounts[0].m_key_digests[1] == sha256_hex("k2"));
+    CHECK(policy.m_accounts[0].m_rate == 48);
+    CHECK(policy.m_limits.m_idle_timeout == 9000ms);
+}
+
+TEST_CASE("a configuration with a part that cannot be used is refused")
+{
+    // Half a configuration would drop routes or keys that are in force.
+    for (auto const& [from, to] :
+         std::vector<std::pair<std::string, std::string>>{
+             {"\"non_idempotent\"", "\"maybe\""},
+             {"\"timeout_ms\":1500", "\"timeout_ms\":\"1500\""},
+             {"\"service\":\"s1\"", "\"service\":\"\""},
+             {"\"version\":7", "\"version\":7.5"},
+             {"\"weight\":90", "\"weight\":-1"},
+             {"[\"k1\",\"k2\"]", "[1]"}})
+    {
+        CAPTURE(to);
+        auto const text = replaced(configuration, from, to);
+        CHECK(std::holds_alternative<decode_failure>(decode_policy(text)));
+    }
+}
+
+TEST_CASE("an entry with a missing or mistyped field names no upstream")
+{
+    REQUIRE(!is_refused(entry));
+    auto const decoded = decode_upstream("i-1", entry);
+    auto const& value = std::get<upstream_entry>(decoded);
+    CHECK(value.m_upstream.m_id == "i-1");
+    CHECK(value.m_born == 1700000000000);
+    CHECK(value.m_warm_up_left == 3s);
+    CHECK(is_refused(replaced(entry, "\"ready\"", "\"sleepy\"")));
+    CHECK(is_refused(replaced(entry, "\"slots\":2", "\"slots\":\"2\"")));
+    CHECK(is_refused(replaced(entry, "\"slots\":2", "\"slots\":2.5")));
+    CHECK(is_refused(replaced(entry, "\"slots\":2", "\"slots\":-2")));
+    CHECK(is_refused(replaced(entry, "\"sequence\":4,", "")));
+    CHECK(is_refused(replaced(entry, "10.0.0.9:8080", "somewhere")));
+    CHECK(is_refused(replaced(entry, "1700000000000", "\"today\"")));
+    CHECK(is_refused(replaced(entry, "1700000000000", "1.5")));
+    CHECK(is_refused("[]"));
+    CHECK(is_refused("\xff\xfe"));
+}
+
+TEST_CASE("records are read up to their end and cut ones are refused")
+{
+    std::string const first(8, '\0');
+    std::string bytes = std::string(7, '\0') + '\x05' + first;
+    bytes += encode_record("a", "one");
+    bytes += encode_record("b", "");
+    auto const decoded = decode_records(bytes, 3);
+    REQUIRE(std::holds_alternative<store_page>(decoded));
+    auto const& page = std::get<store_page>(decoded);
+    CHECK(page.m_end == 5);
+    REQUIRE(page.m_records.size() == 2);
+    CHECK(page.m_records[0] == store_record{"a", "one", 3});
+    CHECK(page.m_records[1] == store_record{"b", std::nullopt, 4});
+    for (std::size_t length = 17; length < bytes.size(); ++length)
+    {
+        auto const cut = decode_records(bytes.substr(0, length), 3);
+        bool const is_whole = length == 16 + 8;
+        CAPTURE(length);
+        if (!is_whole && std::holds_alternative<store_page>(cut))
+        {
+            CHECK(std::get<store_page>(cut).m_end < 5);
+        }
+    }
+}
+
+TEST_CASE("a page of newest records is decoded with its continuation")
+{
+    auto const decoded = decode_newest(
+        R"({"items":[{"key":"config","value":"aGVsbG8=","offset":4}],)"
+        R"("has_more":true,"end_offset":6})");
+    REQUIRE(std::holds_alternative<newest_page>(decoded));
+    auto const& page = std::get<newest_page>(decoded);
+    CHECK(page.m_page.m_end == 6);
+    CHECK(page.m_page.m_records[0] == store_record{"config", "hello", 4});
+    CHECK(page.m_continue_after == "config");
+    CHECK(std::holds_alternative<decode_failure>(
+        decode_newest(R"({"items":[{"key":"a","value":"!","offset":4}],)"
+                      R"("has_more":false,"end_offset":6})")));
+}
+
+TEST_CASE("settings are decoded, and a bad one is named")
+{
+    std::string const text =
+        R"({"node":"n1","ip":"10.1.0.1","zone":"z1",)"
+        R"("listen":{"front":"10.1.0.1:80","ready":"10.1.0.1:81",)"
+        R"("control":"10.1.0.1:82"},"internal_ports":[7000,7010],)"
+        R"("seeds":["10.1.0.2:82"],"limits":{"max_fds":4100},)"
+        R"("bounds":["grace_s=6","retry_budget_extra=58","drain_ms=2500"],)"
+        R"("platform":{"address":"10.9.0.1:90"},"new_field":{}})";
+    auto const decoded = decode_settings(text);
+    REQUIRE(std::holds_alternative<edge_settings>(decoded));
+    auto const& options = std::get<edge_settings>(decoded);
+    CHECK(options.m_peer_listen == "10.1.0.1:82");
+    CHECK(options.m_gossip_port == 7000);
+    CHECK(options.m_retries.m_extra == 58);
+    CHECK(options.m_drain_bound == 2500ms);
+    CHECK(options.m_stop_grace == 6s);
+    CHECK(options.m_max_connections == 3200);
+    auto const bad =
+        decode_settings(replaced(text, "\"grace_s=6\"", "\"grace_s=x\""));
+    REQUIRE(std::holds_alternative<decode_failure>(bad));
+    CHECK(
+        std::get<decode_failure>(bad).m_reason.find("grace_s") !=
+        std::string::npos);
+}
+
+TEST_CASE("random changes of valid bytes never crash a decoder")
+{
+    // Other writers put what they like into the store.
+    std::mt19937 random{20261204};
+    std::string records(16, '\0');
+    records += encode_record("a", entry);
+    std::vector<std::string> const seeds{configuration, entry, records};
+    for (int round = 0; round < 20'000; ++round)
+    {
+        std::string text = seeds[random() % seeds.size()];
+        for (unsigned change = 0; change <= random() % 4; ++change)
+        {
+            auto const place = random() % text.size();
+            switch (random() % 3)
+            {
+            case 0:
+                text[place] = static_cast<char>(random());
+                break;
+            case 1:
+                text.erase(place, random() % 8);
+                break;
+            default:
+                text.insert(place, text.substr(random() % text.size(), 5));
+                break;
+            }
+            if (text.empty())
+            {
+                text = "x";
+            }
+        }
+        static_cast<void>(decode_policy(text));
+        static_cast<void>(decode_upstream("i", text));
+        static_cast<void>(decode_newest(text));
+        static_cast<void>(decode_settings(text));
+        static_cast<void>(decode_records(text, 0));
+    }
+    CHECK(true);
+}
