Take slow answers for no sign of sickness; explain requests from logs

A served answer now counts as served however long it took; a hanging request is a weak sign (1.5).

briarctl explain and logs summary read the logs of edge processes.

--- a/src/briarctl_main.cpp
+++ b/src/briarctl_main.cpp
@@ -5,6 +5,7 @@
 #include "claim_key.hpp"
 #include "clock.hpp"
 #include "config.hpp"
+#include "log_story.hpp"
 #include "result_code.hpp"
 #include "table_printer.hpp"
 
@@ -71,6 +72,9 @@
   status in-doubt          non-idempotent requests whose outcome is unknown
   watch TOPIC              a status topic, repeated
   codes                    the table of result codes
+Logs of edge processes:
+  explain ID FILE...       one request's story from the logs of any VMs
+  logs summary FILE...     requests by outcome, account, upstream and second
 
 Exit codes: 0 done, 1 failed, 2 usage, 3 unreachable, 4 invalid, 5 conflict,
 6 appended but not confirmed yet (look it up with `change ID`).
@@ -429,14 +433,97 @@
     return exit_ok;
 }
 
+void report_counts(read_counts const& counts, std::string const& file)
+{
+    std::cerr << fmt::format(
+        "{}: {} lines, {} skipped, {} left out by the processes\n",
+        file,
+        counts.m_lines,
+        counts.m_skipped,
+        counts.m_left_out);
+}
+
+/// Calls `read` with each file that the arguments name from `first` on.
+template <class Read>
+bool read_files(cli const& tool, std::size_t first, Read read)
+{
+    for (std::size_t i = first; i < tool.m_arguments.size(); ++i)
+    {
+        std::ifstream file{tool.m_arguments[i]};
+        if (!file)
+        {
+            std::cerr << "briarctl: cannot read " << tool.m_arguments[i]
+                      << '\n';
+            return false;
+        }
+        read(file, tool.m_arguments[i]);
+    }
+    return true;
+}
+
+int run_explain(cli const& tool)
+{
+    constexpr std::size_t first_file = 2;
+    request_story story{tool.m_arguments[1]};
+    bool const is_read = read_files(
+                             tool,
+                             first_file,
+                             [&](std::istream& file, std::string const& name)
+                             {
+                                 report_counts(story.find_request(file), name);
+                             }) &&
+                         read_files(
+                             tool,
+                             first_file,
+                             [&](std::istream& file, std::string const&)
+                             {
+                                 story.find_context(file);
+                             });
+    if (!is_read)
+    {
+        return exit_failed;
+    }
+    for (auto const& line : story.lines())
+    {
+        std::cout << line.m_text << '\n';
+    }
+    return story.lines().empty() ? exit_failed : exit_ok;
+}
+
+int run_logs(cli const& tool)
+{
+    constexpr std::size_t first_file = 2;
+    constexpr std::size_t rows = 20;
+    if (tool.m_arguments[1] != "summary")
+    {
+        std::cerr << usage;
+        return exit_usage;
+    }
+    log_summary summary;
+    bool const is_read = read_files(
+        tool,
+        first_file,
+        [&](std::istream& file, std::string const& name)
+        {
+            report_counts(summary.read(file), name);
+        });
+    if (!is_read)
+    {
+        return exit_failed;
+    }
+    std::cout << summary.to_text(rows);
+    return exit_ok;
+}
+
 struct command
 {
     std::string_view m_name;
     std::size_t m_argument_count; ///< with the command itself
     int (*m_run)(cli const&);
+    bool m_takes_more = false; ///< further arguments may follow
 };
 
-constexpr std::array<command, 9> commands{{
+constexpr std::array<command, 11> commands{{
     {"validate", 2, run_validate},
     {"diff", 2, run_diff},
     {"apply", 2, run_apply},
@@ -446,6 +533,8 @@
     {"status", 2, run_status},
     {"watch", 2, run_watch},
     {"codes", 1, run_codes},
+    {"explain", 3, run_explain, true},
+    {"logs", 3, run_logs, true},
 }};
 
 int run_command(cli const& tool)
@@ -454,7 +543,11 @@
     {
         bool const matches = !tool.m_arguments.empty() &&
                              tool.m_arguments.front() == entry.m_name;
-        if (matches && tool.m_arguments.size() == entry.m_argument_count)
+        std::size_t const given = tool.m_arguments.size();
+        bool const fits =
+            given == entry.m_argument_count ||
+            (entry.m_takes_more && given > entry.m_argument_count);
+        if (matches && fits)
         {
             return entry.m_run(tool);
         }
--- a/src/edge_attempts.cpp
+++ b/src/edge_attempts.cpp
@@ -322,9 +322,7 @@
             m_has_answer = status >= 500;
             return verdict::failed;
         }
-        auto const limit = board.slow_limit(
-            m_request.m_service, m_request.m_route->m_latency_target);
-        board.observe(now, tag, m_took > limit ? sign::slow : sign::served);
+        board.observe(now, tag, sign::served);
         board.note_duration(m_request.m_service, m_took);
         m_state.m_suspects.forget(m_request.m_digest);
         return verdict::served;
--- a/src/sickness.cpp
+++ b/src/sickness.cpp
@@ -12,10 +12,9 @@
 constexpr double failed_ratio = 45.0;
 constexpr double served_ratio = 0.3;
 
-/// Slowness, silence and rejections come from load and lost packets as well.
-constexpr double slow_ratio = 2.5;
-constexpr double stuck_ratio = 8.0;
-constexpr double silent_ratio = 8.0;
+/// Long work, load and lost packets cause these as well.
+constexpr double stuck_ratio = 1.5;
+constexpr double silent_ratio = 4.0;
 constexpr double rejected_ratio = 1.6;
 
 /// Bounds on what is believed, so that later signs still count.
@@ -30,8 +29,6 @@
         return served_ratio;
     case sign::failed:
         return failed_ratio;
-    case sign::slow:
-        return slow_ratio;
     case sign::stuck:
         return stuck_ratio;
     case sign::silent:
--- a/src/sickness.hpp
+++ b/src/sickness.hpp
@@ -27,9 +27,8 @@
 /// What one attempt showed.
 enum class sign
 {
-    served,  ///< whole answer in time
+    served,  ///< whole answer
     failed,  ///< answered with a failure, reset, refused or damaged
-    slow,    ///< served, but slower than its class usually is
     stuck,   ///< still in flight long after its class usually ends
     silent,  ///< no answer and no reset
     rejected ///< refused before running
--- a/src/upstream_board.hpp
+++ b/src/upstream_board.hpp
@@ -26,7 +26,7 @@
 
 upstream_tag tag_of(upstream_entry const& entry);
 
-inline constexpr std::size_t sign_count = 6;
+inline constexpr std::size_t sign_count = 5;
 
 /// What one VM saw of an upstream since its last message.
 struct upstream_news
--- a/tests/edge_policy_test.cpp
+++ b/tests/edge_policy_test.cpp
@@ -559,3 +559,16 @@
     }
     CHECK(others == 1);
 }
+
+TEST_CASE("long work under load makes no sound upstream a suspect")
+{
+    // When load made answers slow, slowness counted as sickness, requests
+    // moved to upstreams that were sick indeed, and failed.
+    sickness state{upstream_rates, at(0ms)};
+    for (int i = 1; i <= 20; ++i)
+    {
+        state.observe(at(i * 100ms), sign::stuck);
+        state.observe(at(i * 100ms), sign::served);
+    }
+    CHECK(state.probability(at(2100ms)) < 0.05);
+}
--- /dev/null
+++ b/tests/log_story_test.cpp
@@ -0,0 +1,55 @@
+#include "log_story.hpp"
+
+#include <doctest/doctest.h>
+
+#include <sstream>
+#include <string>
+
+using namespace briarhub;
+
+namespace
+{
+
+std::string const log_text =
+    R"({"time_ms":1000,"vm":"a","event":"policy","version":3}
+{"time_ms":1500,"vm":"b","event":"policy","version":3}
+not an event
+{"time_ms":2000,"vm":"a","event":"request","request":"r1","route":"write",)"
+    R"("account":"acme","outcome":"upstream_failure","attempts":)"
+    R"([{"upstream":"u1","end":"answered","status":500}]}
+{"time_ms":2100,"vm":"a","event":"request","request":"r2","route":"read",)"
+    R"("account":"acme","outcome":"served","left_out":4,"attempts":[]}
+{"time_ms":3000,"vm":"a","event":"policy","version":6}
+{"cut off
+)";
+
+} // namespace
+
+TEST_CASE("a request's story has its line and what its VM believed before")
+{
+    // On-call engineers have nothing but the id and the logs.
+    request_story story{"r1"};
+    std::istringstream first{log_text};
+    auto const counts = story.find_request(first);
+    CHECK(counts.m_skipped == 2);
+    CHECK(counts.m_left_out == 4);
+    std::istringstream second{log_text};
+    story.find_context(second);
+    auto const lines = story.lines();
+    REQUIRE(lines.size() == 2);
+    CHECK(lines[0].m_event == "policy");
+    CHECK(lines[0].m_vm == "a");
+    CHECK(lines[1].m_event == "request");
+    CHECK(lines[1].m_text.find("\"status\":500") != std::string::npos);
+}
+
+TEST_CASE("a summary counts outcomes, accounts and upstreams")
+{
+    log_summary summary;
+    std::istringstream log{log_text};
+    CHECK(summary.read(log).m_lines == 7);
+    auto const text = summary.to_text(5);
+    CHECK(text.find("1  served  read") != std::string::npos);
+    CHECK(text.find("1  upstream_failure  acme") != std::string::npos);
+    CHECK(text.find("1  answered  u1") != std::string::npos);
+}
