--- a/src/fleet_caps.cpp
+++ b/src/fleet_caps.cpp
@@ -10,19 +10,23 @@
 
 using seconds = std::chrono::duration<double>;
 
-/// A part of the fleet that hears no other part may use this much more than
-/// its share; callers of silent VMs move to the others.
-constexpr double generous_share = 0.1;
+/// A part of the fleet may use this many times its share: callers of silent
+/// VMs move to the others, and accounts rarely use their whole rate.
+constexpr double generosity = 1.3;
 
 /// A VM that has just started does not know what its peers admitted.
 constexpr double initial_burst_share = 0.5;
 
 /// Peers' retries of the last moments are not known yet.
-constexpr double retry_safety = 0.8;
+constexpr double retry_safety = 0.92;
 
 constexpr std::chrono::milliseconds retry_cell_length{1000};
 
-/// A long count that is heard for the first time is history, not news.
+/// A VM that has run for longer knows the fleet: a peer that it has not heard
+/// before is new, and so is all that it used.
+constexpr std::chrono::seconds history_age{3};
+
+/// Bound on what a peer's new run can have used before it was heard.
 constexpr std::uint64_t most_at_first = 20;
 
 double to_seconds(duration value)
@@ -40,7 +44,7 @@
     }
     double const heard =
         static_cast<double>(m_heard) / static_cast<double>(m_known);
-    return std::min(1.0, heard + generous_share);
+    return std::min(1.0, heard * generosity);
 }
 
 account_bucket::account_bucket(time_point now, double rate, double burst)
@@ -230,32 +234,38 @@
     ++m_own[{kind, short_hash(name)}];
 }
 
-// The first message of a peer's run only sets the start of its counts: what
-// it used before is in the buckets of those that heard it.
+// What peers used before this VM started is history: the buckets of the others
+// have it. A further run of a peer begins at zero, so all that it used is news.
 void fleet_caps::receive(
     time_point now,
     vm_tag from,
     std::uint32_t run,
     std::vector<usage_count> const& totals)
 {
-    auto& peer = m_peers[from];
-    bool const is_new_run = peer.m_run != run;
-    if (is_new_run)
+    auto const [found, is_unknown] = m_peers.try_emplace(from);
+    auto& peer = found->second;
+    if (peer.m_run != run)
     {
         peer.m_run = run;
         peer.m_totals.clear();
+        peer.m_is_first_run = is_unknown;
     }
     for (auto const& total : totals)
     {
         count_key const key{total.m_kind, total.m_tag};
         auto const [place, is_first] =
             peer.m_totals.try_emplace(key, total.m_total);
-        std::uint64_t const known = is_first ? 0 : place->second;
-        std::uint64_t const fresh =
-            total.m_total > known ? total.m_total - known : 0;
-        place->second = std::max(place->second, total.m_total);
-        apply_remote(
-            now, key, is_first ? std::min(fresh, most_at_first) : fresh);
+        if (is_first)
+        {
+            bool const is_history =
+                peer.m_is_first_run && now - m_started < history_age;
+            auto const used = std::min(total.m_total, most_at_first);
+            apply_remote(now, key, is_history ? 0 : used);
+            continue;
+        }
+        std::uint64_t const known = place->second;
+        place->second = std::max(known, total.m_total);
+        apply_remote(now, key, place->second - known);
     }
 }
 
--- a/src/fleet_caps.hpp
+++ b/src/fleet_caps.hpp
@@ -150,6 +150,7 @@
     struct peer_totals
     {
         std::uint32_t m_run = 0;
+        bool m_is_first_run = false;
         std::map<count_key, std::uint64_t> m_totals;
     };
 
