Weigh a loss as a loss; bound heads by the policy's limit; mend lint findings

loss_cost 0.7 stood for the share that a sick upstream fails, which the sickness already has in it. The head of a request is bounded by the policy's limit instead of a constant, and the directory is read four times within the drain bound of the settings.

--- a/src/edge_attempts.cpp
+++ b/src/edge_attempts.cpp
@@ -1,6 +1,5 @@
 #include "edge_attempts.hpp"
 
-#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
 #include <algorithm>
@@ -17,7 +16,6 @@
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
-using boost::beast::iequals;
 
 constexpr unsigned http_1_1 = 11;
 
--- a/src/edge_session.cpp
+++ b/src/edge_session.cpp
@@ -187,7 +187,7 @@
 {
     if (auto ended = run_edge_filters(*m_state, request))
     {
-        co_return std::move(*ended);
+        co_return *ended;
     }
     auto const stream = make_stream();
     co_return co_await run_attempts(*m_state, request, stream);
@@ -215,7 +215,7 @@
     m_is_idle = m_input.empty();
     arm(m_input.empty() ? duration{limits.m_idle_timeout}
                         : duration{limits.m_head_timeout});
-    head_scan scan = scan_head(m_input);
+    head_scan scan = scan_head(m_input, limits.m_head_bytes);
     while (scan.m_length == 0 && scan.m_code == result_code::ok)
     {
         bool const was_empty = m_input.empty();
@@ -232,19 +232,20 @@
             m_is_idle = false;
             arm(limits.m_head_timeout);
         }
-        scan = scan_head(m_input);
+        scan = scan_head(m_input, limits.m_head_bytes);
     }
     m_is_idle = false;
     if (scan.m_code == result_code::ok)
     {
-        scan.m_code = check_raw_head({m_input.data(), scan.m_length});
+        scan.m_code = check_raw_head(
+            {m_input.data(), scan.m_length}, limits.m_head_bytes);
     }
     if (scan.m_code != result_code::ok)
     {
         co_return no_request{scan.m_code};
     }
     request_parser parser;
-    parser.header_limit(max_head_bytes);
+    parser.header_limit(static_cast<std::uint32_t>(limits.m_head_bytes));
     parser.body_limit(limits.m_body_bytes);
     error_code error;
     parser.put(asio::buffer(m_input.data(), scan.m_length), error);
--- a/src/http_guard.cpp
+++ b/src/http_guard.cpp
@@ -200,15 +200,14 @@
 
 } // namespace
 
-head_scan scan_head(std::string_view input)
+head_scan scan_head(std::string_view input, std::size_t max_bytes)
 {
     auto const end = input.find(head_end);
-    if (end != std::string_view::npos &&
-        end + head_end.size() <= max_head_bytes)
+    if (end != std::string_view::npos && end + head_end.size() <= max_bytes)
     {
         return {.m_length = end + head_end.size()};
     }
-    if (input.size() >= max_head_bytes)
+    if (input.size() >= max_bytes)
     {
         return {.m_code = result_code::header_too_large};
     }
@@ -223,9 +222,9 @@
     return {};
 }
 
-result_code check_raw_head(std::string_view head)
+result_code check_raw_head(std::string_view head, std::size_t max_bytes)
 {
-    if (head.size() > max_head_bytes)
+    if (head.size() > max_bytes)
     {
         return result_code::header_too_large;
     }
--- a/src/http_guard.hpp
+++ b/src/http_guard.hpp
@@ -30,12 +30,14 @@
     std::size_t m_length = 0;
     result_code m_code = result_code::ok;
 };
-head_scan scan_head(std::string_view input);
+head_scan
+scan_head(std::string_view input, std::size_t max_bytes = max_head_bytes);
 
 /// Checks the raw bytes of a head up to and including the empty line: bare
 /// LF, obsolete line folding, NUL and control characters, space before a
 /// colon. Beast's parser accepts some of these.
-result_code check_raw_head(std::string_view head);
+result_code
+check_raw_head(std::string_view head, std::size_t max_bytes = max_head_bytes);
 
 /// Checks a parsed head: both length fields, repeated `Content-Length`,
 /// `Transfer-Encoding` other than one "chunked", repeated unique fields, the
--- a/src/state_feed.cpp
+++ b/src/state_feed.cpp
@@ -31,8 +31,8 @@
 constexpr milliseconds policy_pause{60};
 
 /// Announcements of upstreams never cease, so the directory is read at
-/// intervals: a quarter of the shortest bound on changes.
-constexpr milliseconds upstreams_interval{500};
+/// intervals: this part of the bound within which a change must be in force.
+constexpr int reads_per_drain_bound = 4;
 
 constexpr milliseconds min_failure_pause{150};
 constexpr milliseconds max_failure_pause{1000};
@@ -72,7 +72,7 @@
           [this](
               std::string_view path,
               std::string_view message,
-              peer_responder respond)
+              peer_responder const& respond)
           {
               respond(answer(path, message));
           }),
@@ -256,7 +256,8 @@
         co_await wait_for_duty(m_upstreams_timer);
         bool const is_read = co_await read_upstreams_once();
         co_await pause(
-            is_read ? duration{upstreams_interval} : failure_pause());
+            is_read ? duration{m_options.m_drain_bound / reads_per_drain_bound}
+                    : failure_pause());
     }
 }
 
--- a/src/upstream_board.cpp
+++ b/src/upstream_board.cpp
@@ -16,7 +16,7 @@
 constexpr std::chrono::milliseconds peer_load_retention{1600};
 
 /// Costs are in lost requests: 1 is the loss of this request.
-constexpr double loss_cost = 0.7;      ///< a sick upstream fails 7 in 10
+constexpr double loss_cost = 1.0;
 constexpr double retried_cost = 0.12;  ///< delay and budget of a retry
 constexpr double staleness_gain = 0.1; ///< for learning about an upstream
 constexpr std::chrono::milliseconds staleness_span{2000};
--- a/tests/edge_policy_test.cpp
+++ b/tests/edge_policy_test.cpp
@@ -172,6 +172,7 @@
 {
     upstream_board board{"z1", 7};
     std::vector<upstream_entry> entries;
+    entries.reserve(6);
     for (int i = 0; i < 6; ++i)
     {
         entries.push_back(make_entry("u" + std::to_string(i)));
--- a/tests/wire_decode_test.cpp
+++ b/tests/wire_decode_test.cpp
@@ -36,7 +36,8 @@
     R"("slots":2,"state":"ready","warmup_left_ms":3000,"sequence":4,)"
     R"("born":1700000000000})";
 
-std::string replaced(std::string text, std::string from, std::string to)
+std::string
+replaced(std::string text, std::string const& from, std::string const& to)
 {
     auto const place = text.find(from);
     REQUIRE(place != std::string::npos);
@@ -72,8 +73,7 @@
 TEST_CASE("a configuration with a part that cannot be used is refused")
 {
     // Half a configuration would drop routes or keys that are in force.
-    for (auto const& [from, to] :
-         std::vector<std::pair<std::string, std::string>>{
+    for (auto const& change : std::vector<std::pair<std::string, std::string>>{
              {"\"non_idempotent\"", "\"maybe\""},
              {"\"timeout_ms\":1500", "\"timeout_ms\":\"1500\""},
              {"\"service\":\"s1\"", "\"service\":\"\""},
@@ -81,8 +81,8 @@
              {"\"weight\":90", "\"weight\":-1"},
              {"[\"k1\",\"k2\"]", "[1]"}})
     {
-        CAPTURE(to);
-        auto const text = replaced(configuration, from, to);
+        CAPTURE(change.second);
+        auto const text = replaced(configuration, change.first, change.second);
         CHECK(std::holds_alternative<decode_failure>(decode_policy(text)));
     }
 }
