--- a/src/edge_traffic.cpp
+++ b/src/edge_traffic.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/system/system_error.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -34,18 +33,6 @@
 
 constexpr std::chrono::milliseconds stop_check_interval{50};
 
-asio::ip::tcp::endpoint listen_endpoint(endpoint_address const& address)
-{
-    auto const endpoint = parse_endpoint(address);
-    if (!endpoint)
-    {
-        throw boost::system::system_error{
-            make_error_code(asio::error::invalid_argument),
-            "listen address " + address};
-    }
-    return *endpoint;
-}
-
 } // namespace
 
 edge_traffic::edge_traffic(
--- a/src/parse_number.cpp
+++ b/src/parse_number.cpp
@@ -1,6 +1,8 @@
 #include "parse_number.hpp"
 
+#include <boost/asio/error.hpp>
 #include <boost/asio/ip/address.hpp>
+#include <boost/system/system_error.hpp>
 
 namespace briarhub
 {
@@ -39,4 +41,16 @@
         boost::asio::ip::make_address(parts->m_ip), parts->m_port};
 }
 
+boost::asio::ip::tcp::endpoint listen_endpoint(std::string_view text)
+{
+    auto const endpoint = parse_endpoint(text);
+    if (!endpoint)
+    {
+        throw boost::system::system_error{
+            make_error_code(boost::asio::error::invalid_argument),
+            "listen address " + std::string{text}};
+    }
+    return *endpoint;
+}
+
 } // namespace briarhub
--- a/src/parse_number.hpp
+++ b/src/parse_number.hpp
@@ -42,6 +42,10 @@
 std::optional<boost::asio::ip::tcp::endpoint>
 parse_endpoint(std::string_view text);
 
+/// The endpoint to listen on. Throws boost::system::system_error that names
+/// a malformed address.
+boost::asio::ip::tcp::endpoint listen_endpoint(std::string_view text);
+
 } // namespace briarhub
 
 #endif
--- a/src/status_server.cpp
+++ b/src/status_server.cpp
@@ -11,7 +11,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
-#include <boost/system/system_error.hpp>
 
 #include <utility>
 
@@ -32,18 +31,6 @@
 
 constexpr std::chrono::milliseconds accept_pause{100};
 
-tcp::endpoint listen_endpoint(endpoint_address const& address)
-{
-    auto const endpoint = parse_endpoint(address);
-    if (!endpoint)
-    {
-        throw boost::system::system_error{
-            make_error_code(asio::error::invalid_argument),
-            "listen address " + address};
-    }
-    return *endpoint;
-}
-
 } // namespace
 
 struct status_server::implementation
--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -32,19 +32,6 @@
 /// closed without one.
 constexpr std::size_t max_refusing_connections = 64;
 
-/// Throws boost::system::system_error.
-asio::ip::tcp::endpoint listen_endpoint(endpoint_address const& address)
-{
-    auto const endpoint = parse_endpoint(address);
-    if (!endpoint)
-    {
-        throw boost::system::system_error{
-            make_error_code(asio::error::invalid_argument),
-            "listen address " + address};
-    }
-    return *endpoint;
-}
-
 /// Accepts callers and runs the periodic work. Its coroutines share it.
 class traffic_server : public std::enable_shared_from_this<traffic_server>
 {
