--- a/src/edge_process.cpp
+++ b/src/edge_process.cpp
@@ -80,16 +80,7 @@
               }),
           m_signals(m_control_loop.m_io, SIGTERM, SIGINT, SIGHUP)
     {
-        if (!m_options.m_metrics_listen.empty())
-        {
-            m_metrics_server = std::make_unique<status_server>(
-                m_control_loop.m_io,
-                m_options.m_metrics_listen,
-                [this](std::string_view)
-                {
-                    return status_answer{200, m_metrics.to_text()};
-                });
-        }
+        open_metrics();
     }
 
     void run()
@@ -120,6 +111,32 @@
     }
 
 private:
+    /// Callers are served also when the port of the counters is taken.
+    void open_metrics()
+    {
+        if (m_options.m_metrics_listen.empty())
+        {
+            return;
+        }
+        try
+        {
+            m_metrics_server = std::make_unique<status_server>(
+                m_control_loop.m_io,
+                m_options.m_metrics_listen,
+                [this](std::string_view)
+                {
+                    return status_answer{200, m_metrics.to_text()};
+                });
+        }
+        catch (boost::system::system_error const& error)
+        {
+            m_events.write(
+                "metrics_unavailable",
+                {{"listen", m_options.m_metrics_listen},
+                 {"error", error.what()}});
+        }
+    }
+
     void wait_for_signal()
     {
         m_signals.async_wait(
--- a/tests/edge/edge_test.py
+++ b/tests/edge/edge_test.py
@@ -315,6 +315,19 @@
         check((await caller.ask("h3", "/read/x")).status == 200, "bad file")
 
 
+async def test_taken_metrics_port():
+    """A process that cannot serve its counters does not serve callers."""
+    fleet = Fleet(machines=1)
+    taken = await asyncio.start_server(
+        lambda reader, writer: None, fleet.machines[0].ip, 9464
+    )
+    async with fleet:
+        machine = fleet.machines[0]
+        check((await machine.caller().ask("m", "/read/x")).status == 200, "served")
+        check(machine.events("metrics_unavailable"), "no line")
+    taken.close()
+
+
 async def test_restart_serves_soon():
     """A restarted VM needs seconds until it serves again."""
     async with Fleet(machines=3) as fleet:
