Bound the wait for a change of the policy

A wait now ends after half of the bound on changes, at one call a second for each failure domain. Test: test_waiting_read_that_is_not_woken, which failed before.

--- a/src/edge_settings.hpp
+++ b/src/edge_settings.hpp
@@ -29,6 +29,8 @@
     std::vector<endpoint_address> m_seeds;
     endpoint_address m_store;
     retry_bounds m_retries;
+    /// Within this time a change of the policy must be in force.
+    std::chrono::milliseconds m_policy_bound{2000};
     /// Within this time a change of an upstream must be in force.
     std::chrono::milliseconds m_drain_bound{2000};
     /// From the stop signal to the end of the process.
--- a/src/state_feed.cpp
+++ b/src/state_feed.cpp
@@ -23,9 +23,10 @@
 
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 
-/// Changes of the policy are waited for; keep-alive probes notice a dead
-/// connection earlier.
-constexpr milliseconds policy_wait{25000};
+/// Changes of the policy are waited for, but a store may not wake a read that
+/// arrives while a change is being written. So a wait ends after this part of
+/// the bound within which a change must be in force.
+constexpr int waits_per_policy_bound = 2;
 
 /// Changes that come in quick succession are read together.
 constexpr milliseconds policy_pause{60};
@@ -187,7 +188,9 @@
     if (m_policy_next)
     {
         result = co_await m_store.read(
-            store_topic::policy, *m_policy_next, policy_wait);
+            store_topic::policy,
+            *m_policy_next,
+            m_options.m_policy_bound / waits_per_policy_bound);
     }
     else
     {
--- a/tests/edge/edge_test.py
+++ b/tests/edge/edge_test.py
@@ -267,6 +267,24 @@
             check(answer.status == 200, answer.status)
 
 
+async def test_waiting_read_that_is_not_woken():
+    """A change is missed until the next one, since the store did not wake the
+    read that waits for it (krr-gate scale-1, seed 606035386869)."""
+    async with Fleet(machines=3) as fleet:
+        await asyncio.sleep(2.5)
+        fleet.store.wakes_readers = False
+        # Ends the reads that wait already.
+        await fleet.configure(usual_resources())
+        await asyncio.sleep(0.5)
+        resources = usual_resources()
+        resources.append(route("fresh", "/fresh/", "desk"))
+        await fleet.configure(resources)
+        await asyncio.sleep(1.8)
+        for machine in fleet.machines:
+            answer = await machine.caller().ask("f", "/fresh/x")
+            check(answer.status == 200, answer.status)
+
+
 async def test_stop_drops_nothing():
     """A graceful stop cuts a request, or a VM stays in rotation."""
     async with Fleet(machines=2) as fleet:
--- a/tests/edge/stand_ins.py
+++ b/tests/edge/stand_ins.py
@@ -106,6 +106,7 @@
         self.status = None  # answer every call with this status
         self.is_silent = False
         self.delay_s = 0.0
+        self.wakes_readers = True  # False: waiting reads end at their time only
         self.calls = 0
 
     def records(self, topic):
@@ -188,7 +189,9 @@
         def is_there():
             return len(self.records(topic)) > start
 
-        if wait_s and not is_there():
+        if wait_s and not is_there() and not self.wakes_readers:
+            await asyncio.sleep(wait_s)
+        elif wait_s and not is_there():
             async with self.changed:
                 try:
                     await asyncio.wait_for(self.changed.wait_for(is_there), wait_s)
