Hold the first requests of a started process until its state is there

A request now waits up to 60 ms, an eighth of the usual latency target, and is refused only after that.

Ruled out: not accepting connections until the state is there; callers then wait for an accept, and a reset costs them a whole connection attempt.

--- a/src/edge_session.cpp
+++ b/src/edge_session.cpp
@@ -40,6 +40,11 @@
 /// A caller that takes nothing of an answer for so long is cut off.
 constexpr std::chrono::seconds write_timeout{10};
 
+/// A request waits this long for the first policy and directory: an eighth of
+/// the usual latency target.
+constexpr std::chrono::milliseconds start_wait{60};
+constexpr std::chrono::milliseconds start_check_interval{5};
+
 /// A body may arrive this much slower than a head.
 constexpr int body_time_factor = 10;
 
@@ -185,6 +190,7 @@
 
 asio::awaitable<edge_reply> edge_session::run(edge_request& request)
 {
+    co_await wait_until_ready();
     if (auto ended = run_edge_filters(*m_state, request))
     {
         co_return *ended;
@@ -193,6 +199,19 @@
     co_return co_await run_attempts(*m_state, request, stream);
 }
 
+/// A process that has just started learns its state within milliseconds; a
+/// refusal would make the caller wait much longer.
+asio::awaitable<void> edge_session::wait_until_ready()
+{
+    auto const end = runtime_clock::now() + start_wait;
+    while (!m_state->has_state() && !m_caller.is_gone() &&
+           runtime_clock::now() < end)
+    {
+        timer pause{m_state->m_io, start_check_interval};
+        co_await pause.async_wait(use_tuple);
+    }
+}
+
 answer_stream edge_session::make_stream()
 {
     answer_stream stream;
--- a/src/edge_session.hpp
+++ b/src/edge_session.hpp
@@ -57,6 +57,7 @@
     read_body(request_parser& parser);
     boost::asio::awaitable<bool> read_more();
     boost::asio::awaitable<edge_reply> run(edge_request& request);
+    boost::asio::awaitable<void> wait_until_ready();
     boost::asio::awaitable<bool>
     reply(edge_request& request, edge_reply&& result);
     boost::asio::awaitable<bool>
--- a/src/edge_state.hpp
+++ b/src/edge_state.hpp
@@ -53,9 +53,15 @@
         return m_policy;
     }
 
+    /// The policy and the upstreams are known.
+    [[nodiscard]] bool has_state() const
+    {
+        return m_policy != nullptr && m_has_upstreams;
+    }
+
     [[nodiscard]] bool is_ready() const
     {
-        return m_policy != nullptr && m_has_upstreams && !m_is_stopping;
+        return has_state() && !m_is_stopping;
     }
 
     void count_refusal(result_code code, std::string_view route);
