Keep beliefs about upstreams through restarts and the loss of all VMs

Cause: a process that starts knows nothing of sick upstreams, and a third are sick at any time.

Change: the first VM of the fleet that reaches the store writes what it believes once a second as one keyed record; a process that starts reads it, and peers give theirs to a newcomer. Beliefs age with the model, and own evidence replaces them.

--- a/src/edge_process.cpp
+++ b/src/edge_process.cpp
@@ -29,7 +29,7 @@
 constexpr std::chrono::seconds settings_check_interval{5};
 
 /// Messages from the traffic to the control thread.
-using control_news = std::variant<store_duty, newer_peer>;
+using control_news = std::variant<store_duty, newer_peer, belief_record>;
 
 struct event_loop
 {
@@ -58,6 +58,10 @@
               [this](newer_peer const& peer)
               {
                   m_to_control.push(peer);
+              },
+              [this](belief_record&& record)
+              {
+                  m_to_control.push(std::move(record));
               }),
           m_feed(
               m_control_loop.m_io,
@@ -137,6 +141,21 @@
         }
     }
 
+    void receive(store_duty const& duty)
+    {
+        m_feed.set_duty(duty);
+    }
+
+    void receive(newer_peer const& peer)
+    {
+        m_feed.note_newer_peer(peer);
+    }
+
+    void receive(belief_record const& record)
+    {
+        m_feed.keep_beliefs(record);
+    }
+
     void wait_for_signal()
     {
         m_signals.async_wait(
@@ -274,14 +293,12 @@
         ring_messages,
         [this](control_news&& news)
         {
-            if (auto const* duty = std::get_if<store_duty>(&news))
-            {
-                m_feed.set_duty(*duty);
-            }
-            else
-            {
-                m_feed.note_newer_peer(std::get<newer_peer>(news));
-            }
+            std::visit(
+                [this](auto const& specific)
+                {
+                    receive(specific);
+                },
+                news);
         }};
 
     edge_traffic m_traffic;
--- a/src/edge_traffic.cpp
+++ b/src/edge_traffic.cpp
@@ -42,11 +42,16 @@
     metrics_registry& metrics,
     event_log& events,
     gossip_service::duty_handler on_duty,
-    gossip_service::newer_handler on_newer)
+    gossip_service::newer_handler on_newer,
+    gossip_service::beliefs_handler on_beliefs)
     : m_io(io), m_state(std::make_shared<edge_state>(
                     io, options, names, metrics, events)),
       m_gossip(std::make_shared<gossip_service>(
-          io, m_state, std::move(on_duty), std::move(on_newer))),
+          io,
+          m_state,
+          std::move(on_duty),
+          std::move(on_newer),
+          std::move(on_beliefs))),
       m_acceptor(io, listen_endpoint(options.m_listen)),
       m_connections(metrics.get_gauge("briarhub_caller_connections"))
 {
@@ -94,6 +99,16 @@
     m_gossip->add_members(news.m_members);
 }
 
+void edge_traffic::receive(beliefs_news&& news)
+{
+    m_state->m_events.write(
+        "beliefs_adopted",
+        {{"upstreams", news.m_beliefs.size()},
+         {"age_ms",
+          std::chrono::floor<std::chrono::milliseconds>(news.m_age).count()}});
+    m_state->m_board.adopt(runtime_clock::now() - news.m_age, news.m_beliefs);
+}
+
 void edge_traffic::apply_settings(edge_settings const& options)
 {
     m_state->apply_settings(options);
--- a/src/edge_traffic.hpp
+++ b/src/edge_traffic.hpp
@@ -32,7 +32,8 @@
         metrics_registry& metrics,
         event_log& events,
         gossip_service::duty_handler on_duty,
-        gossip_service::newer_handler on_newer);
+        gossip_service::newer_handler on_newer,
+        gossip_service::beliefs_handler on_beliefs);
 
     void start();
 
@@ -59,6 +60,7 @@
     void receive(upstreams_news&& news);
     void receive(held_news&& news);
     void receive(members_news&& news);
+    void receive(beliefs_news&& news);
     boost::asio::awaitable<void> accept_callers();
     boost::asio::awaitable<void> stop_slowly(std::function<void()> on_stopped);
     void add_session(boost::asio::ip::tcp::socket socket);
--- a/src/fleet_store.hpp
+++ b/src/fleet_store.hpp
@@ -25,7 +25,8 @@
 {
     policy,    ///< the operator's configuration
     upstreams, ///< announcements of upstreams, keyed by upstream
-    members    ///< addresses of entry VMs, keyed by VM
+    members,   ///< addresses of entry VMs, keyed by VM
+    beliefs    ///< what the fleet believes of upstreams, one record
 };
 
 struct store_record
--- a/src/gossip_message.cpp
+++ b/src/gossip_message.cpp
@@ -12,6 +12,8 @@
 /// Counts in one datagram; far above what a VM sees between two of them.
 constexpr std::uint32_t max_sign_count = 1000;
 
+constexpr double permille = 1000.0;
+
 constexpr auto last_usage_kind =
     static_cast<std::uint32_t>(usage_kind::retried);
 
@@ -65,8 +67,25 @@
         static_cast<usage_kind>(from.kind()), from.tag(), from.total()};
 }
 
+void write(wire::UpstreamBelief& to, upstream_belief const& from)
+{
+    to.set_upstream(from.m_upstream);
+    to.set_sickness_permille(
+        static_cast<std::uint32_t>(from.m_sickness * permille));
+}
+
+upstream_belief read(wire::UpstreamBelief const& from)
+{
+    return {
+        from.upstream(), std::min(from.sickness_permille() / permille, 1.0)};
+}
+
 void write_lists(wire::Gossip& to, gossip_message const& from)
 {
+    for (auto const& belief : from.m_beliefs)
+    {
+        write(*to.add_beliefs(), belief);
+    }
     for (auto const& news : from.m_upstreams)
     {
         write(to, news);
@@ -117,6 +136,10 @@
     {
         to.m_members.push_back({item.vm(), item.domain()});
     }
+    for (auto const& item : from.beliefs())
+    {
+        to.m_beliefs.push_back(read(item));
+    }
     return true;
 }
 
@@ -166,4 +189,34 @@
     return message;
 }
 
+std::string encode(belief_record const& record)
+{
+    wire::BeliefRecord to;
+    to.set_written_ms(static_cast<std::uint64_t>(
+        record.m_written.time_since_epoch().count()));
+    for (auto const& belief : record.m_beliefs)
+    {
+        write(*to.add_beliefs(), belief);
+    }
+    return to.SerializeAsString();
+}
+
+std::optional<belief_record> decode_beliefs(std::string_view bytes)
+{
+    wire::BeliefRecord from;
+    if (!from.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
+        from.written_ms() == 0)
+    {
+        return std::nullopt;
+    }
+    belief_record record;
+    record.m_written = wall_time{std::chrono::milliseconds{
+        static_cast<std::int64_t>(from.written_ms())}};
+    for (auto const& item : from.beliefs())
+    {
+        record.m_beliefs.push_back(read(item));
+    }
+    return record;
+}
+
 } // namespace briarhub
--- a/src/gossip_message.hpp
+++ b/src/gossip_message.hpp
@@ -3,6 +3,7 @@
 
 /// Datagrams between entry processes and their encoding.
 
+#include "clock.hpp"
 #include "fleet_caps.hpp"
 #include "tags.hpp"
 #include "types.hpp"
@@ -49,6 +50,7 @@
     bool m_is_leaving = false;
     bool m_wants_members = false;
     std::vector<peer_address> m_members;
+    std::vector<upstream_belief> m_beliefs; ///< for a newcomer
 
     friend bool
     operator==(gossip_message const&, gossip_message const&) = default;
@@ -59,6 +61,21 @@
 /// Nullopt for bytes that are no such message.
 std::optional<gossip_message> decode_gossip(std::string_view bytes);
 
+/// Beliefs that outlive the VMs in the platform's store.
+struct belief_record
+{
+    wall_time m_written{};
+    std::vector<upstream_belief> m_beliefs;
+
+    friend bool
+    operator==(belief_record const&, belief_record const&) = default;
+};
+
+std::string encode(belief_record const& record);
+
+/// Nullopt for bytes that are no such record.
+std::optional<belief_record> decode_beliefs(std::string_view bytes);
+
 } // namespace briarhub
 
 #endif
--- a/src/gossip_service.cpp
+++ b/src/gossip_service.cpp
@@ -38,6 +38,10 @@
 /// any.
 constexpr std::chrono::milliseconds min_following_age{1500};
 
+/// Beliefs are written to the store this often, for VMs that start when no
+/// other is left. An upstream's condition lasts some ten times as long.
+constexpr std::chrono::milliseconds belief_interval{1000};
+
 /// Members in one datagram; it stays below the usual packet size.
 constexpr std::size_t max_members_told = 100;
 
@@ -70,9 +74,10 @@
     asio::io_context& io,
     std::shared_ptr<edge_state> state,
     duty_handler on_duty,
-    newer_handler on_newer)
+    newer_handler on_newer,
+    beliefs_handler on_beliefs)
     : m_io(io), m_state(std::move(state)), m_on_duty(std::move(on_duty)),
-      m_on_newer(std::move(on_newer)),
+      m_on_newer(std::move(on_newer)), m_on_beliefs(std::move(on_beliefs)),
       m_peers(own_address(m_state->m_options), m_state->m_random()),
       m_socket(
           io,
@@ -175,6 +180,7 @@
 {
     m_state->m_board.receive(
         now, message.m_origin.m_vm, message.m_sequence, message.m_upstreams);
+    m_state->m_board.adopt(now, message.m_beliefs);
     m_state->m_caps.receive(
         now, message.m_origin.m_vm, message.m_run, message.m_usage);
     m_state->m_suspects.receive(now, message.m_suspects);
@@ -209,7 +215,7 @@
     }
 }
 
-/// Gives a new process the members and all that this VM has in use.
+/// Gives a new process the members and what this VM believes.
 void gossip_service::answer_newcomer(gossip_message const& message)
 {
     auto reply = make_message();
@@ -219,6 +225,7 @@
         members.resize(max_members_told);
     }
     reply.m_members = std::move(members);
+    reply.m_beliefs = m_state->m_board.beliefs(runtime_clock::now());
     send(message.m_origin.m_vm, encode(reply));
 }
 
@@ -231,6 +238,7 @@
         m_state->m_caps.set_view(now, m_peers.view(now));
         m_state->m_pool.close_expired(now);
         update_duty(now);
+        keep_beliefs(now);
         auto message = make_message();
         message.m_upstreams = m_state->m_board.take_news(true);
         message.m_usage = m_state->m_caps.take_totals(true);
@@ -270,6 +278,24 @@
     m_on_duty(duty);
 }
 
+void gossip_service::keep_beliefs(time_point now)
+{
+    bool const is_due = m_held.m_has_store &&
+                        now - m_beliefs_kept >= belief_interval &&
+                        m_peers.leads_fleet(now);
+    if (!is_due)
+    {
+        return;
+    }
+    auto beliefs = m_state->m_board.beliefs(now);
+    if (beliefs.empty())
+    {
+        return;
+    }
+    m_beliefs_kept = now;
+    m_on_beliefs({wall_now(), std::move(beliefs)});
+}
+
 void gossip_service::schedule_flush()
 {
     if (m_is_flush_due || m_is_stopped)
--- a/src/gossip_service.hpp
+++ b/src/gossip_service.hpp
@@ -48,13 +48,15 @@
 public:
     using duty_handler = std::function<void(store_duty)>;
     using newer_handler = std::function<void(newer_peer const&)>;
+    using beliefs_handler = std::function<void(belief_record&&)>;
 
     /// Binds the port at once; throws boost::system::system_error.
     gossip_service(
         boost::asio::io_context& io,
         std::shared_ptr<edge_state> state,
         duty_handler on_duty,
-        newer_handler on_newer);
+        newer_handler on_newer,
+        beliefs_handler on_beliefs);
 
     void start();
 
@@ -89,12 +91,14 @@
     void send(vm_tag to, std::string const& bytes);
     [[nodiscard]] gossip_message make_message();
     void update_duty(time_point now);
+    void keep_beliefs(time_point now);
     void find_seeds();
 
     boost::asio::io_context& m_io;
     std::shared_ptr<edge_state> m_state;
     duty_handler m_on_duty;
     newer_handler m_on_newer;
+    beliefs_handler m_on_beliefs;
     peer_table m_peers;
     boost::asio::ip::udp::socket m_socket;
     timer m_flush_timer;
@@ -105,6 +109,7 @@
     store_duty m_duty;
     time_point m_last_feed{};
     time_point m_started{};
+    time_point m_beliefs_kept{};
     unsigned m_heartbeats = 0;
     bool m_is_flush_due = false;
     bool m_is_stopped = false;
--- a/src/peer_table.cpp
+++ b/src/peer_table.cpp
@@ -152,6 +152,18 @@
 }
 
 bool peer_table::should_follow(time_point now) const
+{
+    return comes_first(now, m_self.m_domain);
+}
+
+bool peer_table::leads_fleet(time_point now) const
+{
+    return comes_first(now, std::nullopt);
+}
+
+/// Among the live VMs that reach the store, of one domain or of all.
+bool peer_table::comes_first(
+    time_point now, std::optional<domain_tag> domain) const
 {
     auto const own_rank = duty_rank(m_self.m_vm);
     return std::ranges::none_of(
@@ -159,8 +171,9 @@
         [&](auto const& item)
         {
             auto const& [vm, entry] = item;
-            return entry.m_domain == m_self.m_domain && is_live(now, entry) &&
-                   entry.m_has_store && duty_rank(vm) < own_rank;
+            return (!domain || entry.m_domain == *domain) &&
+                   is_live(now, entry) && entry.m_has_store &&
+                   duty_rank(vm) < own_rank;
         });
 }
 
--- a/src/peer_table.hpp
+++ b/src/peer_table.hpp
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -58,6 +59,10 @@
     /// domain that reaches the store comes before it.
     [[nodiscard]] bool should_follow(time_point now) const;
 
+    /// This VM comes first in the whole fleet among the live VMs that reach
+    /// the store.
+    [[nodiscard]] bool leads_fleet(time_point now) const;
+
     [[nodiscard]] peer_address const& self() const
     {
         return m_self;
@@ -76,6 +81,8 @@
     };
 
     static bool is_live(time_point now, peer const& entry);
+    [[nodiscard]] bool
+    comes_first(time_point now, std::optional<domain_tag> domain) const;
 
     peer_address m_self;
     std::mt19937_64 m_random;
--- a/src/sickness.cpp
+++ b/src/sickness.cpp
@@ -49,7 +49,15 @@
 // An upstream without any evidence is taken as half as likely sick as in the
 // long run: most join in good order.
 sickness::sickness(sickness_rates const& rates, time_point now)
-    : m_rates(rates), m_probability(long_run_mean(rates) / 2), m_updated(now)
+    : sickness(rates, now, long_run_mean(rates) / 2)
+{
+}
+
+sickness::sickness(
+    sickness_rates const& rates, time_point as_of, double probability)
+    : m_rates(rates),
+      m_probability(std::clamp(probability, min_probability, max_probability)),
+      m_updated(as_of)
 {
 }
 
--- a/src/sickness.hpp
+++ b/src/sickness.hpp
@@ -39,8 +39,12 @@
 class sickness
 {
 public:
+    /// Not observed yet.
     sickness(sickness_rates const& rates, time_point now);
 
+    /// As another VM believed it at `as_of`.
+    sickness(sickness_rates const& rates, time_point as_of, double probability);
+
     /// 0 is certainly sound, 1 certainly sick.
     [[nodiscard]] double probability(time_point now) const;
 
--- a/src/state_feed.cpp
+++ b/src/state_feed.cpp
@@ -47,6 +47,13 @@
 
 constexpr milliseconds fetch_timeout{600};
 
+/// Older beliefs say next to nothing: an upstream's condition lasts about ten
+/// seconds.
+constexpr std::chrono::seconds max_belief_age{30};
+
+/// One record holds the beliefs of the whole fleet.
+constexpr std::string_view beliefs_key = "fleet";
+
 /// A peer of another domain is asked only if no near one has the state soon:
 /// bytes between domains are dear.
 constexpr milliseconds far_fetch_delay{60};
@@ -96,6 +103,7 @@
 
 void state_feed::start()
 {
+    asio::co_spawn(m_io, read_beliefs(), asio::detached);
     asio::co_spawn(m_io, follow_policy(), asio::detached);
     asio::co_spawn(m_io, follow_upstreams(), asio::detached);
     asio::co_spawn(m_io, announce(), asio::detached);
@@ -171,6 +179,55 @@
     m_on_news(std::move(news));
 }
 
+/// Peers tell a newcomer what they believe; the store does so after the loss
+/// of all VMs. A failure is not repeated: by then requests have brought
+/// evidence.
+asio::awaitable<void> state_feed::read_beliefs()
+{
+    auto const result = co_await m_store.newest(store_topic::beliefs);
+    if (auto const* failure = std::get_if<store_failure>(&result))
+    {
+        m_events.write(
+            "beliefs_unavailable", {{"reason", to_string(*failure)}});
+        co_return;
+    }
+    for (auto const& stored : std::get<store_page>(result).m_records)
+    {
+        auto record = decode_beliefs(stored.m_value.value_or(std::string{}));
+        if (!record)
+        {
+            m_events.write("beliefs_unavailable", {{"reason", "malformed"}});
+            continue;
+        }
+        // Wall clocks of two VMs may differ.
+        auto const age =
+            std::max(wall_now() - record->m_written, milliseconds{0});
+        if (age <= max_belief_age)
+        {
+            m_on_news(beliefs_news{age, std::move(record->m_beliefs)});
+        }
+    }
+}
+
+void state_feed::keep_beliefs(belief_record const& record)
+{
+    if (!m_is_stopped && !std::exchange(m_is_writing_beliefs, true))
+    {
+        asio::co_spawn(m_io, write_beliefs(encode(record)), asio::detached);
+    }
+}
+
+asio::awaitable<void> state_feed::write_beliefs(std::string text)
+{
+    auto const failure = co_await m_store.put(
+        store_topic::beliefs, std::string{beliefs_key}, std::move(text));
+    m_is_writing_beliefs = false;
+    if (failure)
+    {
+        note_failure(runtime_clock::now(), "beliefs", *failure);
+    }
+}
+
 asio::awaitable<void> state_feed::follow_policy()
 {
     while (!m_is_stopped)
--- a/src/state_feed.hpp
+++ b/src/state_feed.hpp
@@ -50,8 +50,15 @@
     std::vector<peer_address> m_members;
 };
 
-using feed_news =
-    std::variant<policy_news, upstreams_news, held_news, members_news>;
+/// To the traffic thread: what the fleet believed of upstreams.
+struct beliefs_news
+{
+    duration m_age{};
+    std::vector<upstream_belief> m_beliefs;
+};
+
+using feed_news = std::
+    variant<policy_news, upstreams_news, held_news, members_news, beliefs_news>;
 
 class state_feed
 {
@@ -72,11 +79,17 @@
 
     void set_duty(store_duty const& duty);
 
+    /// Writes beliefs to the store, unless the last ones are still being
+    /// written.
+    void keep_beliefs(belief_record const& record);
+
     /// A peer holds newer state: fetches it.
     void note_newer_peer(newer_peer const& peer);
 
 private:
     boost::asio::awaitable<void> announce();
+    boost::asio::awaitable<void> read_beliefs();
+    boost::asio::awaitable<void> write_beliefs(std::string text);
     boost::asio::awaitable<void> follow_policy();
     boost::asio::awaitable<void> follow_upstreams();
     boost::asio::awaitable<bool> read_policy_once();
@@ -121,6 +134,7 @@
     /// While the store fails for this VM: peers reach it.
     std::optional<bool> m_peers_have_store;
     unsigned m_failures = 0;
+    bool m_is_writing_beliefs = false;
     bool m_is_stopped = false;
 };
 
--- a/src/upstream_board.cpp
+++ b/src/upstream_board.cpp
@@ -90,7 +90,16 @@
                 {},
                 now,
                 now + entry.m_warm_up_left,
+                false,
                 false};
+            if (auto const old = m_inherited.find(tag);
+                old != m_inherited.end())
+            {
+                fresh.m_upstream = sickness{
+                    upstream_rates,
+                    old->second.m_as_of,
+                    old->second.m_sickness};
+            }
             slots.emplace(tag, std::move(fresh));
         }
         else
@@ -264,6 +273,7 @@
         found->second.m_upstream.observe(now, what);
     }
     found->second.m_last_sign = now;
+    found->second.m_has_evidence = true;
     ++news_of(target).m_signs[static_cast<std::size_t>(what)];
 }
 
@@ -327,11 +337,40 @@
             {
                 entry.m_upstream.observe(now, static_cast<sign>(i));
                 entry.m_last_sign = now;
+                entry.m_has_evidence = true;
             }
         }
     }
 }
 
+std::vector<upstream_belief> upstream_board::beliefs(time_point now) const
+{
+    std::vector<upstream_belief> list;
+    for (auto const& [tag, entry] : m_slots)
+    {
+        if (entry.m_has_evidence)
+        {
+            list.push_back({tag, entry.m_upstream.probability(now)});
+        }
+    }
+    return list;
+}
+
+void upstream_board::adopt(
+    time_point as_of, std::span<upstream_belief const> beliefs)
+{
+    for (auto const& belief : beliefs)
+    {
+        m_inherited[belief.m_upstream] = {as_of, belief.m_sickness};
+        auto const found = m_slots.find(belief.m_upstream);
+        if (found != m_slots.end() && !found->second.m_has_evidence)
+        {
+            found->second.m_upstream =
+                sickness{upstream_rates, as_of, belief.m_sickness};
+        }
+    }
+}
+
 std::vector<upstream_news> upstream_board::take_news(bool all)
 {
     if (all)
--- a/src/upstream_board.hpp
+++ b/src/upstream_board.hpp
@@ -39,6 +39,16 @@
     operator==(upstream_news const&, upstream_news const&) = default;
 };
 
+/// Probability that an upstream is sick, as one VM believes it.
+struct upstream_belief
+{
+    upstream_tag m_upstream = 0;
+    double m_sickness = 0.0;
+
+    friend bool
+    operator==(upstream_belief const&, upstream_belief const&) = default;
+};
+
 /// A request that needs an upstream.
 struct choice_request
 {
@@ -98,6 +108,13 @@
         std::uint64_t sequence,
         std::span<upstream_news const> news);
 
+    /// What this VM believes of the upstreams for which it has evidence.
+    [[nodiscard]] std::vector<upstream_belief> beliefs(time_point now) const;
+
+    /// Takes over beliefs from the past or from a peer where this VM has no
+    /// evidence of its own; upstreams that it does not know yet may follow.
+    void adopt(time_point as_of, std::span<upstream_belief const> beliefs);
+
     /// News since the last call, and all counts in flight if `all` is set.
     std::vector<upstream_news> take_news(bool all);
 
@@ -134,9 +151,16 @@
         std::unordered_map<vm_tag, peer_load> m_peers;
         time_point m_last_sign{};
         time_point m_warm_at{};
+        bool m_has_evidence = false;
         bool m_is_retired = false;
     };
 
+    struct inherited_belief
+    {
+        time_point m_as_of{};
+        double m_sickness = 0.0;
+    };
+
     [[nodiscard]] double
     cost(time_point now, slot const& entry, choice_request const& request);
     [[nodiscard]] double wait_cost(
@@ -154,6 +178,7 @@
     std::mt19937_64 m_random;
     warm_check m_is_warm;
     std::map<upstream_tag, slot> m_slots;
+    std::unordered_map<upstream_tag, inherited_belief> m_inherited;
     std::map<service_name, std::vector<upstream_tag>> m_by_service;
     std::unordered_map<upstream_tag, upstream_news> m_unsent;
     std::map<service_name, std::chrono::nanoseconds> m_usual;
--- a/tests/edge_policy_test.cpp
+++ b/tests/edge_policy_test.cpp
@@ -621,3 +621,68 @@
     CHECK(rest.share() + 12 * alone.share() <= 1.4);
     CHECK(fleet_view{36, 36}.share() == 1.0);
 }
+
+TEST_CASE("a VM that starts takes over what the fleet believed")
+{
+    // After the loss of all VMs, waiting callers came back at once and a
+    // third of the requests met upstreams that had been known as sick.
+    std::vector<upstream_entry> const entries{
+        make_entry("u0"), make_entry("u1")};
+    upstream_board before{"z1", 7};
+    before.set_upstreams(at(0ms), entries);
+    CHECK(before.beliefs(at(0ms)).empty());
+    before.observe(at(1ms), tag_of(entries[0]), sign::failed);
+    before.observe(at(2ms), tag_of(entries[0]), sign::failed);
+    for (int i = 0; i < 3; ++i)
+    {
+        before.observe(at(3ms), tag_of(entries[1]), sign::served);
+    }
+    auto const bytes =
+        encode(belief_record{wall_now(), before.beliefs(at(10ms))});
+    auto const record = decode_beliefs(bytes);
+    REQUIRE(record);
+    REQUIRE(record->m_beliefs.size() == 2);
+
+    // The beliefs may come before the directory or after it.
+    upstream_board early{"z1", 8};
+    early.adopt(at(10ms), record->m_beliefs);
+    early.set_upstreams(at(1500ms), entries);
+    upstream_board late{"z1", 9};
+    late.set_upstreams(at(1500ms), entries);
+    late.adopt(at(10ms), record->m_beliefs);
+    for (auto* board : {&early, &late})
+    {
+        CHECK(board->sickness_of(at(1500ms), tag_of(entries[0])) > 0.7);
+        CHECK(board->sickness_of(at(1500ms), tag_of(entries[1])) < 0.1);
+    }
+    // Own evidence counts more than what others believed.
+    late.observe(at(1600ms), tag_of(entries[0]), sign::served);
+    double const own = late.sickness_of(at(1600ms), tag_of(entries[0]));
+    late.adopt(at(10ms), record->m_beliefs);
+    CHECK(late.sickness_of(at(1600ms), tag_of(entries[0])) == own);
+    CHECK(!decode_beliefs("no record"));
+}
+
+TEST_CASE("one live VM of the whole fleet that reaches the store leads it")
+{
+    // Each VM that wrote what it believes would cost a call a second.
+    unsigned leaders = 0;
+    for (vm_tag self = 1; self <= 6; ++self)
+    {
+        peer_table table{{self, self % 3}, 5};
+        for (vm_tag peer = 1; peer <= 6; ++peer)
+        {
+            gossip_message message;
+            message.m_origin = {peer, peer % 3};
+            message.m_run = 1;
+            message.m_sequence = 1;
+            message.m_state.m_has_store = true;
+            if (peer != self)
+            {
+                table.hear(at(0ms), message);
+            }
+        }
+        leaders += table.leads_fleet(at(10ms)) ? 1 : 0;
+    }
+    CHECK(leaders == 1);
+}
