Use fresh connections while upstreams forget kept ones; keep archives near

Two changes that share files.

Of the attempts between 7 and 14 s some 100 a second ended in a reset on a kept connection and none on a new one; requests that run once were lost, and the resets made 58% of the sound upstreams suspects. A reset of a kept connection within 20 ms is now a sign of its own, a weak one for sickness. While 12% of a service's upstreams, at least three, gave it within 3 s, requests that run once go on new connections; requests that may be repeated show when it is over.

The cost of another domain now grows with the usual size of a route's answers.

--- a/src/edge_attempts.cpp
+++ b/src/edge_attempts.cpp
@@ -30,6 +30,10 @@
 /// A try needs at least this much time before the deadline.
 constexpr std::chrono::milliseconds min_try_time{20};
 
+/// A reset this soon after the request comes from an upstream that has not
+/// worked on it: some round trips between domains.
+constexpr std::chrono::milliseconds forgotten_within{20};
+
 /// Waits told to callers that were not served; spread, so that they do not
 /// come back together.
 constexpr std::chrono::milliseconds min_return_wait{150};
@@ -143,6 +147,7 @@
         choice.m_is_retry = m_runs > 0;
         choice.m_priority = m_request.m_priority;
         choice.m_latency_target = m_request.m_route->m_latency_target;
+        choice.m_answer_bytes = m_state.answer_bytes(m_request.m_route->m_name);
         choice.m_excluded = m_tried;
         return m_state.m_board.choose(now, choice);
     }
@@ -183,6 +188,10 @@
         exchange.m_address = target.m_upstream.m_address;
         exchange.m_deadline = m_request.m_deadline;
         exchange.m_held_bytes = held_answer_bytes;
+        // Requests that may be repeated show when the doubt is over.
+        exchange.m_may_reuse = m_request.m_route->m_is_idempotent ||
+                               !m_state.m_board.forgets_connections(
+                                   runtime_clock::now(), m_request.m_service);
         auto& message = exchange.m_message;
         message.base() = m_request.m_head;
         bool const had_length =
@@ -275,6 +284,9 @@
             observe(sign::silent);
             return verdict::not_run;
         case exchange_end::closed_unread:
+            observe(is_forgotten(result) ? sign::forgotten : sign::failed);
+            note_crash(now);
+            return verdict::failed;
         case exchange_end::broken:
             observe(sign::failed);
             note_crash(now);
@@ -292,6 +304,12 @@
         return verdict::failed;
     }
 
+    /// A kept connection was reset before the upstream can have worked.
+    [[nodiscard]] bool is_forgotten(exchange_result const& result) const
+    {
+        return !result.m_is_new_connection && m_took < forgotten_within;
+    }
+
     verdict judge_answer(upstream_tag tag, exchange_result& result)
     {
         auto const now = runtime_clock::now();
@@ -322,6 +340,11 @@
         }
         board.observe(now, tag, sign::served);
         board.note_duration(m_request.m_service, m_took);
+        if (!result.m_streamed)
+        {
+            m_state.note_answer(
+                m_request.m_route->m_name, result.m_body.size());
+        }
         m_state.m_suspects.forget(m_request.m_digest);
         return verdict::served;
     }
--- a/src/edge_state.cpp
+++ b/src/edge_state.cpp
@@ -1,5 +1,6 @@
 #include "edge_state.hpp"
 
+#include <set>
 #include <string>
 #include <utility>
 
@@ -8,6 +9,9 @@
 namespace
 {
 
+/// Weight of a new answer in the usual size of a route's answers.
+constexpr double answer_size_smoothing = 0.2;
+
 std::uint64_t random_seed()
 {
     std::random_device source;
@@ -52,6 +56,7 @@
          {"accounts", fresh->policy().m_accounts.size()}});
     m_metrics.get_gauge("briarhub_policy_version")
         .set(static_cast<double>(fresh->policy().m_version));
+    forget_routes(fresh->policy());
     m_policy = std::move(fresh);
 }
 
@@ -78,6 +83,40 @@
     m_caps.set_bounds(options.m_retries);
 }
 
+/// Forgets what was seen of routes that are gone.
+void edge_state::forget_routes(fleet_policy const& policy)
+{
+    std::set<std::string_view> names;
+    for (auto const& route : policy.m_routes)
+    {
+        names.insert(route.m_name);
+    }
+    std::erase_if(
+        m_answer_bytes,
+        [&](auto const& item)
+        {
+            return !names.contains(item.first);
+        });
+}
+
+double edge_state::answer_bytes(std::string_view route) const
+{
+    auto const found = m_answer_bytes.find(route);
+    return found == m_answer_bytes.end() ? 0.0 : found->second;
+}
+
+void edge_state::note_answer(std::string_view route, std::size_t bytes)
+{
+    auto const size = static_cast<double>(bytes);
+    auto const found = m_answer_bytes.find(route);
+    if (found == m_answer_bytes.end())
+    {
+        m_answer_bytes.emplace(route, size);
+        return;
+    }
+    found->second += answer_size_smoothing * (size - found->second);
+}
+
 void edge_state::count_refusal(result_code code, std::string_view route)
 {
     m_metrics
--- a/src/edge_state.hpp
+++ b/src/edge_state.hpp
@@ -23,6 +23,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -64,6 +65,10 @@
         return has_state() && !m_is_stopping;
     }
 
+    /// The usual size of answers on a route; 0 if none was seen yet.
+    [[nodiscard]] double answer_bytes(std::string_view route) const;
+    void note_answer(std::string_view route, std::size_t bytes);
+
     void count_refusal(result_code code, std::string_view route);
     void count_retry(std::string_view reason);
 
@@ -88,8 +93,11 @@
     bool m_is_closing = false;
 
 private:
+    void forget_routes(fleet_policy const& policy);
+
     std::shared_ptr<policy_index const> m_policy;
     bool m_has_upstreams = false;
+    std::map<std::string, double, std::less<>> m_answer_bytes; ///< by route
 };
 
 } // namespace briarhub
--- a/src/sickness.cpp
+++ b/src/sickness.cpp
@@ -17,6 +17,9 @@
 constexpr double silent_ratio = 4.0;
 constexpr double rejected_ratio = 1.6;
 
+/// An upstream may drop connections that rested and be sound.
+constexpr double forgotten_ratio = 5.0;
+
 /// Bounds on what is believed, so that later signs still count.
 constexpr double min_probability = 0.002;
 constexpr double max_probability = 0.98;
@@ -35,6 +38,8 @@
         return silent_ratio;
     case sign::rejected:
         return rejected_ratio;
+    case sign::forgotten:
+        return forgotten_ratio;
     }
     return 1.0;
 }
--- a/src/sickness.hpp
+++ b/src/sickness.hpp
@@ -27,11 +27,12 @@
 /// What one attempt showed.
 enum class sign
 {
-    served,  ///< whole answer
-    failed,  ///< answered with a failure, reset, refused or damaged
-    stuck,   ///< still in flight long after its class usually ends
-    silent,  ///< no answer and no reset
-    rejected ///< refused before running
+    served,   ///< whole answer
+    failed,   ///< answered with a failure, reset, refused or damaged
+    stuck,    ///< still in flight long after its class usually ends
+    silent,   ///< no answer and no reset
+    rejected, ///< refused before running
+    forgotten ///< reset a kept connection as soon as a request came on it
 };
 
 /// A two-state hidden Markov model: each sign shifts the odds, and without
--- a/src/upstream_board.cpp
+++ b/src/upstream_board.cpp
@@ -24,6 +24,9 @@
 constexpr double wait_slope = 0.1;
 constexpr double fill_cost = 0.02;
 constexpr double other_domain_cost = 0.02;
+/// Bytes between failure domains are dear: an archive of 100 kB costs as much
+/// as the retry of a request.
+constexpr double other_domain_cost_per_byte = 1.2e-6;
 constexpr double cold_connection_cost = 0.015;
 constexpr double warm_up_cost = 0.08;
 constexpr double jitter = 0.02;
@@ -37,6 +40,12 @@
 constexpr double fill_per_priority = 0.5;
 constexpr double least_urgent_fill = 2.0;
 
+/// Kept connections of a service are in doubt while this share of its
+/// upstreams, and this many, forgot some within the time.
+constexpr std::chrono::seconds forgetting_time{3};
+constexpr double forgetting_share = 0.12;
+constexpr std::size_t min_forgetting = 3;
+
 /// First guess of a service's usual duration.
 constexpr std::chrono::milliseconds initial_duration{150};
 constexpr double duration_smoothing = 0.1;
@@ -89,6 +98,7 @@
                 0,
                 {},
                 now,
+                time_point{},
                 now + entry.m_warm_up_left,
                 false,
                 false};
@@ -176,7 +186,9 @@
     total += fill_cost * load / slots;
     bool const is_near =
         entry.m_entry.m_upstream.m_failure_domain == m_own_domain;
-    total += is_near ? 0.0 : other_domain_cost;
+    total += is_near ? 0.0
+                     : other_domain_cost +
+                           other_domain_cost_per_byte * request.m_answer_bytes;
     bool const is_warm =
         m_is_warm && m_is_warm(entry.m_entry.m_upstream.m_address);
     total += is_warm ? 0.0 : cold_connection_cost;
@@ -272,11 +284,40 @@
     {
         found->second.m_upstream.observe(now, what);
     }
-    found->second.m_last_sign = now;
-    found->second.m_has_evidence = true;
+    take_sign(now, found->second, what);
     ++news_of(target).m_signs[static_cast<std::size_t>(what)];
 }
 
+void upstream_board::take_sign(time_point now, slot& entry, sign what)
+{
+    entry.m_last_sign = now;
+    entry.m_has_evidence = true;
+    if (what == sign::forgotten)
+    {
+        entry.m_forgot_at = now;
+    }
+}
+
+bool upstream_board::forgets_connections(
+    time_point now, service_name const& service) const
+{
+    auto const found = m_by_service.find(service);
+    if (found == m_by_service.end())
+    {
+        return false;
+    }
+    auto const forgetting = static_cast<std::size_t>(std::ranges::count_if(
+        found->second,
+        [&](upstream_tag tag)
+        {
+            auto const at = m_slots.at(tag).m_forgot_at;
+            return at != time_point{} && now - at < forgetting_time;
+        }));
+    return forgetting >= min_forgetting &&
+           static_cast<double>(forgetting) >=
+               forgetting_share * static_cast<double>(found->second.size());
+}
+
 void upstream_board::note_duration(
     service_name const& service, std::chrono::nanoseconds took)
 {
@@ -336,8 +377,7 @@
             for (std::uint32_t n = 0; n < item.m_signs[i]; ++n)
             {
                 entry.m_upstream.observe(now, static_cast<sign>(i));
-                entry.m_last_sign = now;
-                entry.m_has_evidence = true;
+                take_sign(now, entry, static_cast<sign>(i));
             }
         }
     }
--- a/src/upstream_board.hpp
+++ b/src/upstream_board.hpp
@@ -26,7 +26,7 @@
 
 upstream_tag tag_of(upstream_entry const& entry);
 
-inline constexpr std::size_t sign_count = 5;
+inline constexpr std::size_t sign_count = 6;
 
 /// What one VM saw of an upstream since its last message.
 struct upstream_news
@@ -58,6 +58,7 @@
     bool m_is_retry = false;
     unsigned m_priority = 0;
     std::chrono::milliseconds m_latency_target{0};
+    double m_answer_bytes = 0.0; ///< usual size of an answer on the route
     std::span<upstream_id const> m_excluded;
 };
 
@@ -98,6 +99,11 @@
         service_name const& service,
         std::chrono::milliseconds latency_target) const;
 
+    /// Several upstreams of the service have just reset kept connections at
+    /// the next request.
+    [[nodiscard]] bool
+    forgets_connections(time_point now, service_name const& service) const;
+
     /// The endpoint is leaving: no new requests.
     void retire(upstream_tag target);
 
@@ -150,6 +156,7 @@
         unsigned m_own_in_flight = 0;
         std::unordered_map<vm_tag, peer_load> m_peers;
         time_point m_last_sign{};
+        time_point m_forgot_at{}; ///< last reset of a kept connection
         time_point m_warm_at{};
         bool m_has_evidence = false;
         bool m_is_retired = false;
@@ -172,6 +179,7 @@
     [[nodiscard]] static double sickness_of(time_point now, slot const& entry);
     [[nodiscard]] std::chrono::nanoseconds
     usual_duration(service_name const& service) const;
+    static void take_sign(time_point now, slot& entry, sign what);
     upstream_news& news_of(upstream_tag target);
 
     failure_domain m_own_domain;
--- a/src/upstream_exchange.cpp
+++ b/src/upstream_exchange.cpp
@@ -162,7 +162,10 @@
 
     asio::awaitable<bool> connect()
     {
-        m_state->m_connection = m_pool.take_idle(m_request.m_address);
+        if (m_request.m_may_reuse)
+        {
+            m_state->m_connection = m_pool.take_idle(m_request.m_address);
+        }
         if (m_state->m_connection)
         {
             co_return true;
--- a/src/upstream_exchange.hpp
+++ b/src/upstream_exchange.hpp
@@ -57,6 +57,8 @@
     endpoint_address m_address;
     time_point m_deadline{};
     /// An answer with more bytes is passed on through the stream.
+    /// A kept connection may carry the request.
+    bool m_may_reuse = true;
     std::size_t m_held_bytes = 0;
 };
 
--- a/tests/edge_policy_test.cpp
+++ b/tests/edge_policy_test.cpp
@@ -689,3 +689,65 @@
     }
     CHECK(leaders == 1);
 }
+
+TEST_CASE("resets of kept connections put reuse in doubt, not the upstreams")
+{
+    // Upstreams that dropped connections at rest were taken for sick, and
+    // requests that run once were lost on the next forgotten connection.
+    upstream_board board{"z1", 7};
+    std::vector<upstream_entry> entries;
+    entries.reserve(10);
+    for (int i = 0; i < 10; ++i)
+    {
+        entries.push_back(make_entry("u" + std::to_string(i)));
+    }
+    board.set_upstreams(at(0ms), entries);
+    for (auto const& entry : entries)
+    {
+        for (int i = 0; i < 3; ++i)
+        {
+            board.observe(at(1ms), tag_of(entry), sign::served);
+        }
+    }
+    board.observe(at(10ms), tag_of(entries[0]), sign::forgotten);
+    board.observe(at(11ms), tag_of(entries[0]), sign::forgotten);
+    CHECK(!board.forgets_connections(at(12ms), "desk"));
+    upstream_news news;
+    news.m_signs[static_cast<std::size_t>(sign::forgotten)] = 1;
+    for (std::size_t i = 1; i < 3; ++i)
+    {
+        news.m_upstream = tag_of(entries[i]);
+        board.receive(at(20ms), 9, i, std::vector{news});
+    }
+    CHECK(board.forgets_connections(at(21ms), "desk"));
+    CHECK(!board.forgets_connections(at(21ms), "other"));
+    CHECK(board.sickness_of(at(21ms), tag_of(entries[1])) < 0.2);
+    CHECK(!board.forgets_connections(at(5s), "desk"));
+}
+
+TEST_CASE("large answers stay in the failure domain while it can serve them")
+{
+    // Archives from other domains were a third of what a day of downloads
+    // cost.
+    upstream_board board{"z1", 7};
+    std::vector<upstream_entry> entries{
+        make_entry("near"), make_entry("far"), make_entry("far2")};
+    entries[1].m_upstream.m_failure_domain = "z2";
+    entries[2].m_upstream.m_failure_domain = "z3";
+    board.set_upstreams(at(0ms), entries);
+    for (auto const& entry : entries)
+    {
+        board.observe(at(1ms), tag_of(entry), sign::served);
+        board.observe(at(1ms), tag_of(entry), sign::served);
+    }
+    auto request = ask(true);
+    request.m_answer_bytes = 90e3;
+    board.attempt_started(tag_of(entries[0]));
+    for (int i = 0; i < 50; ++i)
+    {
+        CHECK(board.choose(at(2ms), request)->m_upstream.m_id == "near");
+    }
+    board.observe(at(3ms), tag_of(entries[0]), sign::failed);
+    board.observe(at(3ms), tag_of(entries[0]), sign::failed);
+    CHECK(board.choose(at(4ms), request)->m_upstream.m_id != "near");
+}
