Join the fleet with fewer calls to the store

Change: the VMs' addresses and the beliefs lie in one topic, read by one call; a VM that the topic names already does not write itself again. At the first start of the whole fleet VMs write before they read, so that none is missed.

--- a/src/edge_session.cpp
+++ b/src/edge_session.cpp
@@ -40,9 +40,9 @@
 /// A caller that takes nothing of an answer for so long is cut off.
 constexpr std::chrono::seconds write_timeout{10};
 
-/// A request waits this long for the first policy and directory: an eighth of
-/// the usual latency target.
-constexpr std::chrono::milliseconds start_wait{60};
+/// A request waits this long for the first policy and directory. A refused
+/// caller is told to come back after as long.
+constexpr std::chrono::milliseconds start_wait{300};
 constexpr std::chrono::milliseconds start_check_interval{5};
 
 /// A body may arrive this much slower than a head.
--- a/src/edge_settings.hpp
+++ b/src/edge_settings.hpp
@@ -28,6 +28,8 @@
     /// Peer addresses that may answer before the store does.
     std::vector<endpoint_address> m_seeds;
     endpoint_address m_store;
+    /// The whole fleet starts for the first time.
+    bool m_is_first_start = false;
     retry_bounds m_retries;
     /// Within this time a change of the policy must be in force.
     std::chrono::milliseconds m_policy_bound{2000};
--- a/src/fleet_store.hpp
+++ b/src/fleet_store.hpp
@@ -25,8 +25,7 @@
 {
     policy,    ///< the operator's configuration
     upstreams, ///< announcements of upstreams, keyed by upstream
-    members,   ///< addresses of entry VMs, keyed by VM
-    beliefs    ///< what the fleet believes of upstreams, one record
+    fleet      ///< records of the fleet's own: its VMs and what it believes
 };
 
 struct store_record
--- a/src/state_feed.cpp
+++ b/src/state_feed.cpp
@@ -51,8 +51,8 @@
 /// seconds.
 constexpr std::chrono::seconds max_belief_age{30};
 
-/// One record holds the beliefs of the whole fleet.
-constexpr std::string_view beliefs_key = "fleet";
+/// Key of the record with the beliefs; the others are addresses of VMs.
+constexpr std::string_view beliefs_key = "beliefs";
 
 /// A peer of another domain is asked only if no near one has the state soon:
 /// bytes between domains are dear.
@@ -111,10 +111,9 @@
 
 void state_feed::start()
 {
-    asio::co_spawn(m_io, read_beliefs(), asio::detached);
     asio::co_spawn(m_io, follow_policy(), asio::detached);
     asio::co_spawn(m_io, follow_upstreams(), asio::detached);
-    asio::co_spawn(m_io, announce(), asio::detached);
+    asio::co_spawn(m_io, join_fleet(), asio::detached);
     asio::co_spawn(m_io, ask_seeds(), asio::detached);
 }
 
@@ -152,68 +151,84 @@
     }
 }
 
-/// Names this VM to later ones and learns the earlier ones.
-asio::awaitable<void> state_feed::announce()
+/// Learns the other VMs and what the fleet believes, and names this VM to later
+/// ones. VMs that start together for the first time must write before they
+/// read, or they miss each other; one that is named already need not write.
+asio::awaitable<void> state_feed::join_fleet()
 {
-    bool is_announced = false;
-    while (!is_announced && !m_is_stopped)
+    bool is_named = false;
+    if (!m_options.m_is_first_start)
+    {
+        is_named = co_await read_fleet();
+    }
+    while (!is_named && !m_is_stopped)
     {
         auto const failure = co_await m_store.put(
-            store_topic::members, m_options.m_ip, m_options.m_failure_domain);
-        is_announced = !failure;
-        if (failure)
+            store_topic::fleet, m_options.m_ip, m_options.m_failure_domain);
+        if (!failure)
         {
-            note_failure(runtime_clock::now(), "announce", *failure);
-            co_await pause(failure_pause());
+            break;
         }
+        note_failure(runtime_clock::now(), "announce", *failure);
+        co_await pause(failure_pause());
+    }
+    if (!is_named)
+    {
+        co_await read_fleet();
     }
-    auto const listed = co_await m_store.newest(store_topic::members);
-    auto const* page = std::get_if<store_page>(&listed);
-    if (page == nullptr)
+}
+
+/// True if the store names this VM. A failure is not repeated: peers that have
+/// heard of this VM, or the seeds, tell the rest.
+asio::awaitable<bool> state_feed::read_fleet()
+{
+    auto const result = co_await m_store.newest(store_topic::fleet);
+    if (auto const* failure = std::get_if<store_failure>(&result))
     {
-        co_return;
+        note_failure(runtime_clock::now(), "fleet", *failure);
+        co_return false;
     }
-    members_news news;
-    for (auto const& record : page->m_records)
+    members_news members;
+    bool is_named = false;
+    for (auto const& record : std::get<store_page>(result).m_records)
     {
+        if (!record.m_value)
+        {
+            continue;
+        }
+        if (record.m_key == beliefs_key)
+        {
+            take_beliefs(*record.m_value);
+            continue;
+        }
         boost::system::error_code error;
         auto const address = asio::ip::make_address_v4(record.m_key, error);
-        if (!error && record.m_value)
+        if (!error)
         {
-            news.m_members.push_back(
+            members.m_members.push_back(
                 {address.to_uint(), short_hash(*record.m_value)});
+            is_named =
+                is_named || (record.m_key == m_options.m_ip &&
+                             *record.m_value == m_options.m_failure_domain);
         }
     }
-    m_on_news(std::move(news));
+    m_on_news(std::move(members));
+    co_return is_named;
 }
 
-/// Peers tell a newcomer what they believe; the store does so after the loss
-/// of all VMs. A failure is not repeated: by then requests have brought
-/// evidence.
-asio::awaitable<void> state_feed::read_beliefs()
+void state_feed::take_beliefs(std::string_view value)
 {
-    auto const result = co_await m_store.newest(store_topic::beliefs);
-    if (auto const* failure = std::get_if<store_failure>(&result))
+    auto record = decode_beliefs(value);
+    if (!record)
     {
-        m_events.write(
-            "beliefs_unavailable", {{"reason", to_string(*failure)}});
-        co_return;
+        m_events.write("beliefs_unavailable", {{"reason", "malformed"}});
+        return;
     }
-    for (auto const& stored : std::get<store_page>(result).m_records)
+    // Wall clocks of two VMs may differ.
+    auto const age = std::max(wall_now() - record->m_written, milliseconds{0});
+    if (age <= max_belief_age)
     {
-        auto record = decode_beliefs(stored.m_value.value_or(std::string{}));
-        if (!record)
-        {
-            m_events.write("beliefs_unavailable", {{"reason", "malformed"}});
-            continue;
-        }
-        // Wall clocks of two VMs may differ.
-        auto const age =
-            std::max(wall_now() - record->m_written, milliseconds{0});
-        if (age <= max_belief_age)
-        {
-            m_on_news(beliefs_news{age, std::move(record->m_beliefs)});
-        }
+        m_on_news(beliefs_news{age, std::move(record->m_beliefs)});
     }
 }
 
@@ -228,7 +243,7 @@
 asio::awaitable<void> state_feed::write_beliefs(std::string text)
 {
     auto const failure = co_await m_store.put(
-        store_topic::beliefs, std::string{beliefs_key}, std::move(text));
+        store_topic::fleet, std::string{beliefs_key}, std::move(text));
     m_is_writing_beliefs = false;
     if (failure)
     {
--- a/src/state_feed.hpp
+++ b/src/state_feed.hpp
@@ -87,8 +87,9 @@
     void note_newer_peer(newer_peer const& peer);
 
 private:
-    boost::asio::awaitable<void> announce();
-    boost::asio::awaitable<void> read_beliefs();
+    boost::asio::awaitable<void> join_fleet();
+    boost::asio::awaitable<bool> read_fleet();
+    void take_beliefs(std::string_view value);
     boost::asio::awaitable<void> write_beliefs(std::string text);
     boost::asio::awaitable<void> follow_policy();
     boost::asio::awaitable<void> follow_upstreams();
--- a/tests/wire_decode_test.cpp
+++ b/tests/wire_decode_test.cpp
@@ -155,6 +155,7 @@
         R"("control":"10.1.0.1:82"},"internal_ports":[7000,7010],)"
         R"("seeds":["10.1.0.2:82"],"limits":{"max_fds":4100},)"
         R"("bounds":["grace_s=6","retry_budget_extra=58","drain_ms=2500"],)"
+        R"("bootstrap":true,)"
         R"("platform":{"address":"10.9.0.1:90"},"new_field":{}})";
     auto const decoded = decode_settings(text);
     REQUIRE(std::holds_alternative<edge_settings>(decoded));
@@ -165,6 +166,7 @@
     CHECK(options.m_drain_bound == 2500ms);
     CHECK(options.m_stop_grace == 6s);
     CHECK(options.m_max_connections == 3200);
+    CHECK(options.m_is_first_start);
     auto const bad =
         decode_settings(replaced(text, "\"grace_s=6\"", "\"grace_s=x\""));
     REQUIRE(std::holds_alternative<decode_failure>(bad));
