Compress configurations between VMs

With 1,092 more routes a version is some 350 kB; the one VM of a domain that reads the store gave it to 17 others over a link of 10 Mbit/s, which takes 5 s, and changes of the directory waited behind it. From version 18 on the last VM had each version 2 to 6 s after the first one.

Change: the configuration goes between VMs compressed by zlib, packed once a version; what is not a compressed text of the stated size is refused.

--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -5,7 +5,7 @@
 packages=(
     g++ cmake make ninja-build ccache clang-format clang-tidy clang-tools
     libboost1.81-dev libboost-json1.81-dev libboost-system1.81-dev
-    libnghttp2-dev libssl-dev libcxxopts-dev libspdlog-dev libfmt-dev
+    libnghttp2-dev libssl-dev zlib1g-dev libcxxopts-dev libspdlog-dev libfmt-dev
     doctest-dev libprotobuf-dev protobuf-compiler gnuplot-nox
     python3 curl
 )
--- a/src/state_feed.cpp
+++ b/src/state_feed.cpp
@@ -1,5 +1,6 @@
 #include "state_feed.hpp"
 
+#include "compression.hpp"
 #include "gossip.pb.h"
 #include "parse_number.hpp"
 
@@ -45,7 +46,10 @@
 /// After failing for so long it is known whether peers reach the store.
 constexpr milliseconds judgement_age{2000};
 
-constexpr milliseconds fetch_timeout{600};
+constexpr milliseconds fetch_timeout{800};
+
+/// Largest configuration that is taken from a peer.
+constexpr std::size_t max_policy_bytes = 64UL * 1024 * 1024;
 
 /// Older beliefs say next to nothing: an upstream's condition lasts about ten
 /// seconds.
@@ -327,7 +331,8 @@
     }
     m_held.m_policy_version = policy.m_version;
     m_policy_key = key;
-    m_policy_text = value;
+    m_packed_policy = compress(value);
+    m_policy_size = value.size();
     m_on_news(policy_news{std::make_unique<fleet_policy>(std::move(policy))});
     return true;
 }
@@ -556,6 +561,20 @@
     co_return false;
 }
 
+void state_feed::take_packed_policy(wire::StateReply const& state)
+{
+    bool const is_sane = state.policy_size() <= max_policy_bytes;
+    auto const text = is_sane ? decompress(state.policy(), state.policy_size())
+                              : std::nullopt;
+    if (!text)
+    {
+        m_metrics.get_counter("briarhub_policies_rejected_total").add();
+        m_events.write("policy_rejected", {{"reason", "not decompressed"}});
+        return;
+    }
+    take_policy(state.policy_key(), *text);
+}
+
 void state_feed::take_state(std::string_view reply)
 {
     wire::StateReply state;
@@ -566,7 +585,7 @@
     }
     if (state.has_policy())
     {
-        take_policy(state.policy_key(), state.policy());
+        take_packed_policy(state);
     }
     upstream_directory::changes news;
     news.m_is_whole = state.is_whole_directory();
@@ -610,7 +629,8 @@
     {
         reply.set_has_policy(true);
         reply.set_policy_key(m_policy_key);
-        reply.set_policy(m_policy_text);
+        reply.set_policy(m_packed_policy);
+        reply.set_policy_size(m_policy_size);
     }
     auto const known = request.directory_change();
     if (m_directory.last_change() > known)
--- a/src/state_feed.hpp
+++ b/src/state_feed.hpp
@@ -26,6 +26,11 @@
 namespace briarhub
 {
 
+namespace wire
+{
+class StateReply;
+}
+
 /// To the traffic thread: a newer policy.
 struct policy_news
 {
@@ -103,6 +108,7 @@
     boost::asio::awaitable<void> wait_for_duty(timer& alarm);
 
     bool take_policy(std::string_view key, std::string_view value);
+    void take_packed_policy(wire::StateReply const& state);
     void take_upstreams(bool is_changed);
     void take_state(std::string_view reply);
     [[nodiscard]] std::optional<std::string>
@@ -124,7 +130,10 @@
     peer_server m_server;
     upstream_directory m_directory;
     std::string m_policy_key;
-    std::string m_policy_text; ///< as the store holds it
+    /// As the store holds it, compressed for peers: links of small VMs carry
+    /// few copies of a large configuration.
+    std::string m_packed_policy;
+    std::size_t m_policy_size = 0; ///< bytes before compression
     std::optional<log_offset> m_policy_next;
     std::optional<log_offset> m_upstreams_next;
     store_duty m_duty;
--- a/tests/base_test.cpp
+++ b/tests/base_test.cpp
@@ -1,4 +1,5 @@
 #include "clock.hpp"
+#include "compression.hpp"
 #include "mailbox.hpp"
 #include "metrics.hpp"
 #include "result_code.hpp"
@@ -85,3 +86,23 @@
         std::string::npos);
     CHECK(text.find("briarhub_added_seconds_count 1") != std::string::npos);
 }
+
+TEST_CASE("compressed text comes back; other bytes are refused")
+{
+    // A configuration of a thousand routes filled the links of small VMs, so
+    // that it came into force too late.
+    std::string text;
+    for (int i = 0; i < 1000; ++i)
+    {
+        text += R"({"kind":"routes","name":"r-)" + std::to_string(i) + "\"}";
+    }
+    auto const packed = briarhub::compress(text);
+    CHECK(packed.size() < text.size() / 5);
+    CHECK(briarhub::decompress(packed, text.size()) == text);
+    CHECK(!briarhub::decompress(packed, text.size() - 1));
+    CHECK(!briarhub::decompress(packed, text.size() + 1));
+    CHECK(!briarhub::decompress(
+        packed.substr(0, packed.size() / 2), text.size()));
+    CHECK(!briarhub::decompress("no zlib", text.size()));
+    CHECK(briarhub::decompress(briarhub::compress(""), 0) == "");
+}
