Share the text of HTTP fields and seeds; test starts with real processes

to_view stood in eight files, the fields of one connection in two, and random_seed in two; each has one copy now. Answers to callers lose the union of both lists.

Tests with real processes: the first requests of a started process wait for its state (a refusal before), and beliefs outlive all VMs, which do not write their addresses again.

--- a/src/answer.cpp
+++ b/src/answer.cpp
@@ -1,9 +1,9 @@
 #include "answer.hpp"
 
+#include "http_text.hpp"
 #include "result_code.hpp"
 
 #include <boost/beast/core/string.hpp>
-#include <boost/beast/http/rfc7230.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -27,49 +27,14 @@
 constexpr auto internal_prefixes =
     std::to_array<std::string_view>({"Upstream-", "Briarhub-"});
 
-constexpr auto connection_fields = std::to_array<std::string_view>(
-    {"Connection",
-     "Proxy-Connection",
-     "Keep-Alive",
-     "Transfer-Encoding",
-     "Trailer",
-     "Upgrade",
-     "Proxy-Authenticate",
-     "Content-Length"});
-
-std::string_view to_view(boost::beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 bool is_internal(std::string_view name)
 {
-    bool const has_prefix = std::ranges::any_of(
+    return std::ranges::any_of(
         internal_prefixes,
         [&](std::string_view prefix)
         {
             return iequals(name.substr(0, prefix.size()), prefix);
         });
-    return has_prefix || std::ranges::any_of(
-                             connection_fields,
-                             [&](std::string_view field)
-                             {
-                                 return iequals(name, field);
-                             });
-}
-
-std::vector<std::string> connection_names(http::fields const& fields)
-{
-    std::vector<std::string> names;
-    auto const [first, last] = fields.equal_range(http::field::connection);
-    for (auto field = first; field != last; ++field)
-    {
-        for (auto const& token : http::token_list{field->value()})
-        {
-            names.emplace_back(to_view(token));
-        }
-    }
-    return names;
 }
 
 void set_result(http::fields& fields, result_code code)
@@ -111,17 +76,10 @@
 
 void remove_internal_fields(http::fields& fields)
 {
-    auto const hop_by_hop = connection_names(fields);
+    remove_connection_fields(fields);
     for (auto field = fields.begin(); field != fields.end();)
     {
-        auto const name = to_view(field->name_string());
-        bool const is_removed =
-            is_internal(name) || std::ranges::any_of(
-                                     hop_by_hop,
-                                     [&](std::string const& listed)
-                                     {
-                                         return iequals(name, listed);
-                                     });
+        bool const is_removed = is_internal(to_view(field->name_string()));
         field = is_removed ? fields.erase(field) : std::next(field);
     }
 }
--- a/src/caller_key.cpp
+++ b/src/caller_key.cpp
@@ -1,6 +1,7 @@
 #include "caller_key.hpp"
 
 #include "http_guard.hpp"
+#include "http_text.hpp"
 
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
@@ -56,11 +57,6 @@
 constexpr auto removed_prefixes =
     std::to_array<std::string_view>({"briarhub-", "upstream-", "x-forwarded-"});
 
-std::string_view to_view(boost::beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 /// Lower case with dashes: some servers treat "_" in field names like "-".
 std::string normalize_name(std::string_view name)
 {
--- a/src/edge_attempts.cpp
+++ b/src/edge_attempts.cpp
@@ -1,6 +1,6 @@
 #include "edge_attempts.hpp"
 
-#include <boost/beast/http/rfc7230.hpp>
+#include "http_text.hpp"
 
 #include <algorithm>
 #include <array>
@@ -39,46 +39,6 @@
 constexpr std::chrono::milliseconds min_return_wait{150};
 constexpr std::chrono::milliseconds max_return_wait{450};
 
-constexpr auto connection_fields = std::to_array<std::string_view>(
-    {"Connection",
-     "Proxy-Connection",
-     "Keep-Alive",
-     "Transfer-Encoding",
-     "TE",
-     "Trailer",
-     "Upgrade",
-     "Expect",
-     "Proxy-Authorization",
-     "Proxy-Authenticate",
-     "Content-Length"});
-
-std::string_view to_view(boost::beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
-/// Removes fields that concern one connection only.
-void remove_connection_fields(http::fields& fields)
-{
-    std::vector<std::string> listed;
-    auto const [first, last] = fields.equal_range(http::field::connection);
-    for (auto field = first; field != last; ++field)
-    {
-        for (auto const& token : http::token_list{field->value()})
-        {
-            listed.emplace_back(to_view(token));
-        }
-    }
-    for (auto const& name : listed)
-    {
-        fields.erase(name);
-    }
-    for (auto const name : connection_fields)
-    {
-        fields.erase(name);
-    }
-}
-
 /// What an ended try means for the request.
 enum class verdict
 {
--- a/src/edge_filters.cpp
+++ b/src/edge_filters.cpp
@@ -1,6 +1,7 @@
 #include "edge_filters.hpp"
 
 #include "caller_key.hpp"
+#include "http_text.hpp"
 #include "parse_number.hpp"
 
 #include <algorithm>
@@ -70,11 +71,6 @@
     suspect_filter{},
     rate_filter{}};
 
-std::string_view to_view(boost::beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 std::optional<refusal> refuse(result_code code)
 {
     return refusal{code, std::nullopt};
--- a/src/edge_session.cpp
+++ b/src/edge_session.cpp
@@ -4,6 +4,7 @@
 #include "edge_attempts.hpp"
 #include "edge_filters.hpp"
 #include "http_guard.hpp"
+#include "http_text.hpp"
 #include "socket_options.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -55,11 +56,6 @@
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr std::string_view last_chunk = "0\r\n\r\n";
 
-std::string_view to_view(boost::beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 result_code parse_error_code(error_code const& error)
 {
     if (error == http::error::body_limit)
--- a/src/edge_state.cpp
+++ b/src/edge_state.cpp
@@ -1,5 +1,7 @@
 #include "edge_state.hpp"
 
+#include "random_seed.hpp"
+
 #include <set>
 #include <string>
 #include <utility>
@@ -12,12 +14,6 @@
 /// Weight of a new answer in the usual size of a route's answers.
 constexpr double answer_size_smoothing = 0.2;
 
-std::uint64_t random_seed()
-{
-    std::random_device source;
-    return (std::uint64_t{source()} << 32U) | source();
-}
-
 } // namespace
 
 edge_state::edge_state(
--- a/src/filter_chain.cpp
+++ b/src/filter_chain.cpp
@@ -4,6 +4,7 @@
 #include "caller_key.hpp"
 #include "claim_key.hpp"
 #include "http_guard.hpp"
+#include "http_text.hpp"
 
 #include <algorithm>
 #include <array>
@@ -42,11 +43,6 @@
     return request_result{refusal{code, std::nullopt}};
 }
 
-std::string_view to_view(boost::beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 /// Digest of parts; each is preceded by its length, so that different parts
 /// cannot yield the same text.
 std::string digest_parts(std::initializer_list<std::string_view> parts)
--- a/src/http_guard.cpp
+++ b/src/http_guard.cpp
@@ -1,5 +1,7 @@
 #include "http_guard.hpp"
 
+#include "http_text.hpp"
+
 #include <boost/beast/core/string.hpp>
 
 #include <algorithm>
@@ -155,11 +157,6 @@
                                 });
 }
 
-std::string_view to_view(boost::beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 /// Two statements of the length let two parsers disagree about where the
 /// request ends.
 result_code check_length_fields(http::request_header<> const& head)
--- a/src/traffic_state.cpp
+++ b/src/traffic_state.cpp
@@ -1,5 +1,7 @@
 #include "traffic_state.hpp"
 
+#include "random_seed.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/json/array.hpp>
@@ -34,12 +36,6 @@
 /// have been lost.
 constexpr std::size_t max_given_up_claims = 10'000;
 
-std::uint64_t random_seed()
-{
-    std::random_device source;
-    return (std::uint64_t{source()} << 32U) | source();
-}
-
 /// Probes run detached, so they keep the state alive.
 asio::awaitable<void>
 run_probe(std::shared_ptr<traffic_state> state, upstream target)
--- a/src/upstream_exchange.cpp
+++ b/src/upstream_exchange.cpp
@@ -1,6 +1,7 @@
 #include "upstream_exchange.hpp"
 
 #include "clock.hpp"
+#include "http_text.hpp"
 #include "parse_number.hpp"
 #include "socket_options.hpp"
 
@@ -46,11 +47,6 @@
 /// Idle limit for an upstream that states none.
 constexpr std::chrono::milliseconds default_idle_limit{4000};
 
-std::string_view to_view(boost::beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 /// The time after which the upstream may close the idle connection.
 std::chrono::milliseconds idle_limit(http::response_header<> const& head)
 {
--- a/tests/edge/edge_test.py
+++ b/tests/edge/edge_test.py
@@ -359,6 +359,57 @@
         check(time.time() - started < 1, time.time() - started)
 
 
+async def test_first_requests_wait_for_state():
+    """Callers that meet a process as it starts are sent away for long."""
+    async with Fleet(machines=1) as fleet:
+        machine = fleet.machines[0]
+        await machine.kill()
+        fleet.store.delay_s = 0.1
+        machine.start()
+        answer = None
+        end = time.time() + 5
+        while answer is None or answer.status == 0:
+            check(time.time() < end, "no connection")
+            await asyncio.sleep(0.005)
+            answer = await machine.caller().ask("early", "/read/x")
+        check(answer.status == 200, answer.status)
+
+
+async def test_beliefs_outlive_all_machines():
+    """After the loss of all VMs the first requests meet known sick upstreams."""
+    async with Fleet(machines=2) as fleet:
+        sick = fleet.endpoints[0]
+        sick.fault = lambda fields: "error"
+        callers = [machine.caller() for machine in fleet.machines]
+        for number in range(40):
+            await callers[number % 2].ask(f"b{number}", "/read/x")
+
+        def is_kept():
+            return "beliefs" in fleet.store.newest("keyed.fleet")
+
+        await fleet.until(is_kept, 5)
+        await asyncio.sleep(1.2)
+        named = len(fleet.store.records("keyed.fleet"))
+        for machine in fleet.machines:
+            await machine.kill()
+        for machine in fleet.machines:
+            machine.start()
+        for machine in fleet.machines:
+            await fleet.until(machine.is_ready, 5)
+            await fleet.until(lambda m=machine: m.events("beliefs_adopted"), 5)
+        runs = len(sick.runs)
+        caller = fleet.machines[0].caller()
+        for number in range(10):
+            answer = await caller.ask(f"a{number}", "/write/x", method="POST")
+            check(answer.status == 200, answer.status)
+        check(len(sick.runs) == runs, "sent to an upstream known as sick")
+        addresses = [
+            key for key, _ in fleet.store.records("keyed.fleet")[named:]
+            if key != "beliefs"
+        ]
+        check(not addresses, f"written again: {addresses}")
+
+
 async def test_split_keeps_weights():
     """A service of a split gets another share than its weight says."""
     async with Fleet(machines=2) as fleet:
