--- a/tests/edge/edge_test.py
+++ b/tests/edge/edge_test.py
@@ -6,13 +6,16 @@
 
 import asyncio
 import os
+import re
 import signal
+import socket
+import struct
 import sys
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
-from fleet import Fleet, limits, route, service, tenant, usual_resources  # noqa: E402
+from fleet import GOSSIP_PORT, Fleet, limits, route, service, tenant, usual_resources  # noqa: E402
 
 
 def check(condition, message):
@@ -488,6 +491,60 @@
             check(name.encode() in text, name)
 
 
+def documented_counters():
+    """Names in the table of the edge process's counters."""
+    path = os.path.join(os.path.dirname(__file__), "../../docs/OPERATIONS.md")
+    with open(path, encoding="utf-8") as page:
+        text = page.read().split("## Counters of the edge process")[1]
+    rows = [line.split("|")[1] for line in text.splitlines() if line.startswith("| `")]
+    return set(re.findall(r"briarhub_[a-z_]+", " ".join(rows)))
+
+
+def gossip_of_newer_state(ip):
+    """A datagram of a VM that claims a later policy than there is."""
+    tag = struct.unpack(">I", socket.inet_aton(ip))[0]
+    message = (
+        b"\x0d" + struct.pack("<I", tag)  # vm
+        + b"\x1d" + struct.pack("<I", 1)  # run
+        + b"\x20\x01"  # sequence
+        + b"\x48\xe7\x07"  # policy_version 999
+    )
+    return b"\x0a" + bytes([len(message)]) + message
+
+
+async def test_documented_counters():
+    """A counter that the page names and the process does not have."""
+    names = documented_counters()
+    check(len(names) > 12, names)
+    async with Fleet(machines=2, endpoints=2) as fleet:
+        machine = fleet.machines[0]
+        # The retry budget grows with the time that a process has run.
+        await asyncio.sleep(1)
+        fleet.endpoints[0].fault = lambda fields: "error"
+        for number in range(20):
+            await machine.caller().ask(f"c{number}", "/read/x")
+        await machine.caller().ask("none", "/none/x")
+        await fleet.store.put("keyed.servers", "forged", b"no entry")
+        await fleet.store.put("keyed.op", "config", b"no configuration")
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for target in fleet.machines:
+                for data in (b"no gossip", gossip_of_newer_state(f"127.0.{fleet.subnet}.99")):
+                    sender.sendto(data, (target.ip, GOSSIP_PORT))
+        await asyncio.sleep(1)
+        fleet.store.status = 503
+        await asyncio.sleep(2)
+        found = set()
+        for each in fleet.machines:
+            status, text = await each.get(9464, "/metrics")
+            check(status == 200, status)
+            found |= set(re.findall(r"^(briarhub_[a-z_]+)", text.decode(), re.M))
+        missing = {
+            name for name in names
+            if not any(each.startswith(name) for each in found)
+        }
+        check(not missing, missing)
+
+
 def main():
     names = sys.argv[1:]
     tests = [
