--- a/tests/edge_policy_test.cpp
+++ b/tests/edge_policy_test.cpp
@@ -43,6 +43,18 @@
     return entry;
 }
 
+/// Upstreams "u0", "u1" and so on.
+std::vector<upstream_entry> make_entries(std::size_t count)
+{
+    std::vector<upstream_entry> entries;
+    entries.reserve(count);
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        entries.push_back(make_entry("u" + std::to_string(i)));
+    }
+    return entries;
+}
+
 /// Records of the test hold "born sequence state" or are not readable.
 std::variant<upstream_entry, decode_failure>
 decode_test(std::string_view key, std::string_view value)
@@ -171,12 +183,7 @@
 TEST_CASE("requests that may not repeat avoid a suspect, others test it")
 {
     upstream_board board{"z1", 7};
-    std::vector<upstream_entry> entries;
-    entries.reserve(6);
-    for (int i = 0; i < 6; ++i)
-    {
-        entries.push_back(make_entry("u" + std::to_string(i)));
-    }
+    auto const entries = make_entries(6);
     board.set_upstreams(at(0ms), entries);
     auto const sick = tag_of(entries[0]);
     for (auto const& entry : entries)
@@ -696,12 +703,7 @@
     // Upstreams that dropped connections at rest were taken for sick, and
     // requests that run once were lost on the next forgotten connection.
     upstream_board board{"z1", 7};
-    std::vector<upstream_entry> entries;
-    entries.reserve(10);
-    for (int i = 0; i < 10; ++i)
-    {
-        entries.push_back(make_entry("u" + std::to_string(i)));
-    }
+    auto const entries = make_entries(10);
     board.set_upstreams(at(0ms), entries);
     for (auto const& entry : entries)
     {
@@ -759,12 +761,7 @@
     // requests went unserved: capacity below the floor (kolamba-tags quiet-1,
     // seed 169191439178).
     upstream_board board{"z1", 7};
-    std::vector<upstream_entry> entries;
-    entries.reserve(6);
-    for (int i = 0; i < 6; ++i)
-    {
-        entries.push_back(make_entry("u" + std::to_string(i)));
-    }
+    auto const entries = make_entries(6);
     board.set_upstreams(at(0ms), entries);
     auto const doubted = tag_of(entries[0]);
     board.observe(at(0ms), doubted, sign::served);
