Log the retry budget at each further attempt; read margins from logs

Logs did not tell why a further attempt was granted or denied, so the hypotheses of the retry budget incident could not be told apart. Each attempt's entry now has the budget left, a denial, and the time handed on; briarhub_retries_denied_total counts denials; scripts/retry_margin.py reads the margin of each service from the logs of a fleet.

--- /dev/null
+++ b/scripts/retry_margin.py
@@ -0,0 +1,111 @@
+#!/usr/bin/env python3
+"""Reads the logs of all VMs of a fleet and tells how close each service came to its
+retry budget: attempts beyond the first of each request in the worst window, against
+a share of the requests plus a fixed extra.
+
+    retry_margin.py --ratio 0.2 --extra 58 LOG...
+
+Requests in flight at a killed process leave no line, so both figures can be low.
+"""
+
+import argparse
+import collections
+import dataclasses
+import json
+import sys
+
+UNSENT_ENDS = ("refused", "unreachable")
+
+
+@dataclasses.dataclass
+class ServiceUse:
+    """Times in ms at which requests came and further attempts began."""
+
+    requests: list = dataclasses.field(default_factory=list)
+    extra: list = dataclasses.field(default_factory=list)
+    most_runs: int = 0
+    most_lengthened_ms: int = 0
+    denied: int = 0
+
+
+def read_lines(paths):
+    for path in paths:
+        with open(path, encoding="utf-8", errors="replace") as log:
+            for text in log:
+                start = text.find('{"time_ms"')
+                if start < 0:
+                    continue
+                try:
+                    line = json.loads(text[start:])
+                except ValueError:
+                    continue
+                if line.get("event") == "request" and line.get("service"):
+                    yield line
+
+
+def add_request(use, line):
+    now = line["time_ms"] - line.get("took_ms", 0)
+    use.requests.append(now)
+    sent = runs = 0
+    first_end = None
+    for attempt in line["attempts"]:
+        end = now + attempt.get("time_left_ms", 0)
+        if attempt.get("end") not in UNSENT_ENDS:
+            if sent:
+                use.extra.append(now)
+                use.most_lengthened_ms = max(use.most_lengthened_ms, end - first_end)
+            else:
+                first_end = end
+            sent += 1
+            runs += not attempt.get("not_run", False)
+        use.denied += "retry_denied" in attempt
+        now += attempt.get("took_ms", 0)
+    use.most_runs = max(use.most_runs, runs)
+
+
+def count_between(times, start, end):
+    return sum(start <= each < end for each in times)
+
+
+def worst_window(use, options):
+    """The window with the least left of its budget: (left, extra, allowed, start)."""
+    window = options.window * 1000
+    worst = None
+    for last in use.extra:
+        start = last - window + 1
+        extra = count_between(use.extra, start, start + window)
+        requests = max(
+            count_between(use.requests, start - shift, start - shift + window)
+            for shift in (0, window // 2, window)
+        )
+        allowed = options.ratio * requests + options.extra
+        found = (allowed - extra, extra, allowed, start)
+        worst = min(worst, found) if worst else found
+    return worst
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--ratio", type=float, default=0.2)
+    parser.add_argument("--extra", type=float, required=True)
+    parser.add_argument("--window", type=int, default=10, help="seconds")
+    parser.add_argument("logs", nargs="+")
+    options = parser.parse_args()
+    services = collections.defaultdict(ServiceUse)
+    for line in read_lines(options.logs):
+        add_request(services[line["service"]], line)
+    if not services:
+        sys.exit("no request lines found")
+    for name, use in sorted(services.items()):
+        worst = worst_window(use, options)
+        print(f"{name}: {len(use.requests)} requests, {len(use.extra)} further attempts, "
+              f"{use.denied} denied, most runs of a request {use.most_runs}, "
+              f"most time added by a further attempt {use.most_lengthened_ms} ms")
+        if worst:
+            left, extra, allowed, start = worst
+            print(f"    worst {options.window} s from {start}: {extra} of {allowed:.0f}, "
+                  f"margin {left:.0f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/edge_attempts.cpp
+++ b/src/edge_attempts.cpp
@@ -228,7 +228,7 @@
                m_runs + 1 < m_request.m_route->m_max_attempts &&
                m_request.m_deadline - now >
                    m_request.m_route->m_latency_target / 2 &&
-               m_state.m_caps.try_retry(now, m_request.m_service);
+               take_retry(now);
     }
 
     verdict judge(upstream_entry const& target, exchange_result& result)
@@ -385,7 +385,7 @@
             // counts as a retry; one that was not reached does not.
             bool const is_paid =
                 !std::exchange(m_was_rejected, false) ||
-                m_state.m_caps.try_retry(now, m_request.m_service);
+                take_retry(now);
             return is_paid && m_unrun_tries < max_unrun_tries &&
                    count_retry("not_run");
         }
@@ -399,7 +399,7 @@
         {
             return count_retry("slow");
         }
-        return m_state.m_caps.try_retry(now, m_request.m_service) &&
+        return take_retry(now) &&
                count_retry("failed");
     }
 
@@ -409,6 +409,22 @@
         return true;
     }
 
+    /// Takes a further attempt from the budget of the service and logs what
+    /// the budget was.
+    bool take_retry(time_point now)
+    {
+        auto& entry = m_request.m_attempts.back().as_object();
+        entry["retries_left"] =
+            m_state.m_caps.retries_left(now, m_request.m_service);
+        if (m_state.m_caps.try_retry(now, m_request.m_service))
+        {
+            return true;
+        }
+        entry["retry_denied"] = "budget";
+        m_state.count_denied_retry("budget");
+        return false;
+    }
+
     /// The final reply of a request that no upstream served.
     edge_reply give_up()
     {
@@ -485,7 +501,11 @@
         m_request.m_attempts.push_back(boost::json::object{
             {"upstream", target.m_upstream.m_id},
             {"sickness", m_state.m_board.sickness_of(now, tag)},
-            {"in_flight", m_state.m_board.in_flight(now, tag)}});
+            {"in_flight", m_state.m_board.in_flight(now, tag)},
+            {"time_left_ms",
+             std::chrono::floor<std::chrono::milliseconds>(
+                 m_request.m_deadline - now)
+                 .count()}});
     }
 
     void end_log(exchange_result const& result, verdict what)
--- a/src/edge_state.cpp
+++ b/src/edge_state.cpp
@@ -131,4 +131,13 @@
         .add();
 }
 
+void edge_state::count_denied_retry(std::string_view reason)
+{
+    m_metrics
+        .get_counter(
+            "briarhub_retries_denied_total",
+            {{"reason", std::string{reason}}})
+        .add();
+}
+
 } // namespace briarhub
--- a/src/edge_state.hpp
+++ b/src/edge_state.hpp
@@ -71,6 +71,7 @@
 
     void count_refusal(result_code code, std::string_view route);
     void count_retry(std::string_view reason);
+    void count_denied_retry(std::string_view reason);
 
     boost::asio::io_context& m_io;
     edge_settings m_options;
--- a/src/fleet_caps.cpp
+++ b/src/fleet_caps.cpp
@@ -135,10 +135,13 @@
     cell_at(now).m_retried += amount;
 }
 
-bool retry_window::may_retry(
-    time_point now, retry_bounds const& bounds, double share, duration age)
+double retry_window::left(
+    time_point now,
+    retry_bounds const& bounds,
+    double share,
+    duration age) const
 {
-    auto const last = cell_at(now).m_number;
+    std::int64_t const last = now.time_since_epoch() / retry_cell_length;
     auto const first = last - bounds.m_window / retry_cell_length;
     double arrived = 0.0;
     double retried = 0.0;
@@ -154,7 +157,7 @@
         std::min(1.0, to_seconds(age) / seconds(bounds.m_window).count());
     double const budget =
         bounds.m_ratio * arrived + bounds.m_extra * share * listened;
-    return retried + 1.0 <= retry_safety * budget;
+    return retry_safety * budget - retried;
 }
 
 fleet_caps::fleet_caps(time_point now, retry_bounds bounds)
@@ -222,16 +225,24 @@
 
 bool fleet_caps::try_retry(time_point now, service_name const& service)
 {
-    auto& window = m_retries[short_hash(service)];
-    if (!window.may_retry(now, m_bounds, m_view.share(), now - m_started))
+    if (retries_left(now, service) < 1.0)
     {
         return false;
     }
     count(usage_kind::retried, service);
-    window.add_retried(now, 1.0);
+    m_retries[short_hash(service)].add_retried(now, 1.0);
     return true;
 }
 
+double
+fleet_caps::retries_left(time_point now, service_name const& service) const
+{
+    auto const found = m_retries.find(short_hash(service));
+    static retry_window const unused;
+    auto const& window = found == m_retries.end() ? unused : found->second;
+    return window.left(now, m_bounds, m_view.share(), now - m_started);
+}
+
 void fleet_caps::count(usage_kind kind, std::string_view name)
 {
     ++m_own[{kind, short_hash(name)}];
--- a/src/fleet_caps.hpp
+++ b/src/fleet_caps.hpp
@@ -102,10 +102,11 @@
     void add_arrived(time_point now, double amount);
     void add_retried(time_point now, double amount);
 
-    /// `share` is the part of the fleet that is heard, `age` how long this
-    /// VM has listened.
-    [[nodiscard]] bool may_retry(
-        time_point now, retry_bounds const& bounds, double share, duration age);
+    /// Retries that the budget still allows. `share` is the part of the fleet
+    /// that is heard, `age` how long this VM has listened.
+    [[nodiscard]] double
+    left(time_point now, retry_bounds const& bounds, double share, duration age)
+        const;
 
 private:
     static constexpr std::size_t cells = 20;
@@ -143,6 +144,10 @@
     void note_arrival(time_point now, service_name const& service);
     bool try_retry(time_point now, service_name const& service);
 
+    /// Retries of the service that this VM may still grant.
+    [[nodiscard]] double
+    retries_left(time_point now, service_name const& service) const;
+
     /// Totals of a peer's run; what is new since its last message counts.
     void receive(
         time_point now,
