--- /dev/null
+++ b/tests/retry_fleet_test.cpp
@@ -0,0 +1,52 @@
+#include "retry_run.hpp"
+
+#include <doctest/doctest.h>
+
+#include <cstdint>
+
+using namespace briarhub;
+
+namespace
+{
+
+constexpr std::uint64_t seeds = 200;
+
+/// Seeds whose run passes the retry budget in some window.
+std::uint64_t count_broken(retry_setup setup)
+{
+    std::uint64_t broken = 0;
+    for (setup.m_seed = 1; setup.m_seed <= seeds; ++setup.m_seed)
+    {
+        auto const figures = run_retries(setup);
+        if (figures.m_margin < 0.0)
+        {
+            ++broken;
+            MESSAGE("seed " << setup.m_seed << " margin " << figures.m_margin);
+        }
+    }
+    return broken;
+}
+
+} // namespace
+
+TEST_CASE("restarts in series do not renew the fleet's retry budget")
+{
+    // Processes that were killed in a storm of rejections forgot what the
+    // fleet had spent, and repeated requests passed the budget (krr-gate).
+    retry_setup setup;
+    setup.m_has_cuts = false;
+    setup.m_has_late_messages = false;
+    CHECK(count_broken(setup) == 0);
+}
+
+TEST_CASE("VMs that do not hear each other keep one retry budget")
+{
+    retry_setup setup;
+    setup.m_has_kills = false;
+    CHECK(count_broken(setup) == 0);
+}
+
+TEST_CASE("kills, cuts and late messages together keep the retry budget")
+{
+    CHECK(count_broken(retry_setup{}) == 0);
+}
