Deal the retry budget out to the VMs as permits

Callers' repeated requests passed the budget of a small service when processes were killed in series while it rejected requests: each process kept the last window in memory, heard of the others' use by gossip, and began anew with a part of the fixed extra that the fleet had already spent.

The extra is now dealt out to the VMs as whole permits. A further attempt uses one; it returns after the window, or as soon as 1/ratio requests have come since. A process that starts counts its permits as used. No VM needs to hear of another's use, so the bound holds whatever is killed, cut or late; what has to be known is how many VMs there may be: the store's list, silent VMs for 15 minutes, and the most that a peer counts. Retries and arrivals are no longer gossiped. The same class of fault stood in the budget of the own control stream (each process began with ten retries); both use one class now.

Ruled out: a larger safety factor, which only moves the bound.

--- a/src/edge_attempts.cpp
+++ b/src/edge_attempts.cpp
@@ -63,7 +63,8 @@
 
     asio::awaitable<edge_reply> run()
     {
-        m_state.m_caps.note_arrival(runtime_clock::now(), m_request.m_service);
+        m_state.m_retries.request_started(
+            runtime_clock::now(), m_request.m_service);
         for (;;)
         {
             auto const target = next_target();
@@ -384,8 +385,7 @@
             // An upstream that rejected the request was reached, which
             // counts as a retry; one that was not reached does not.
             bool const is_paid =
-                !std::exchange(m_was_rejected, false) ||
-                take_retry(now);
+                !std::exchange(m_was_rejected, false) || take_retry(now);
             return is_paid && m_unrun_tries < max_unrun_tries &&
                    count_retry("not_run");
         }
@@ -399,8 +399,7 @@
         {
             return count_retry("slow");
         }
-        return take_retry(now) &&
-               count_retry("failed");
+        return take_retry(now) && count_retry("failed");
     }
 
     bool count_retry(std::string_view reason)
@@ -415,8 +414,8 @@
     {
         auto& entry = m_request.m_attempts.back().as_object();
         entry["retries_left"] =
-            m_state.m_caps.retries_left(now, m_request.m_service);
-        if (m_state.m_caps.try_retry(now, m_request.m_service))
+            m_state.m_retries.left(now, m_request.m_service);
+        if (m_state.m_retries.try_retry(now, m_request.m_service))
         {
             return true;
         }
--- a/src/edge_settings.hpp
+++ b/src/edge_settings.hpp
@@ -3,7 +3,7 @@
 
 /// Settings of an edge process. A platform's adapter reads them.
 
-#include "fleet_caps.hpp"
+#include "retry_budget.hpp"
 #include "types.hpp"
 
 #include <chrono>
--- a/src/edge_state.cpp
+++ b/src/edge_state.cpp
@@ -25,7 +25,8 @@
     : m_io(io), m_options(options), m_names(names), m_metrics(metrics),
       m_events(events), m_random(random_seed()),
       m_board(options.m_failure_domain, random_seed()),
-      m_caps(runtime_clock::now(), options.m_retries), m_pool(io),
+      m_caps(runtime_clock::now()),
+      m_retries(runtime_clock::now(), options.m_retries), m_pool(io),
       m_exchanges(io, names, m_pool)
 {
     m_board.set_warm_check(
@@ -76,7 +77,7 @@
     m_options.m_retries = options.m_retries;
     m_options.m_drain_bound = options.m_drain_bound;
     m_options.m_stop_grace = options.m_stop_grace;
-    m_caps.set_bounds(options.m_retries);
+    m_retries.set_bounds(options.m_retries);
 }
 
 /// Forgets what was seen of routes that are gone.
@@ -135,8 +136,7 @@
 {
     m_metrics
         .get_counter(
-            "briarhub_retries_denied_total",
-            {{"reason", std::string{reason}}})
+            "briarhub_retries_denied_total", {{"reason", std::string{reason}}})
         .add();
 }
 
--- a/src/edge_state.hpp
+++ b/src/edge_state.hpp
@@ -11,6 +11,7 @@
 #include "metrics.hpp"
 #include "policy_index.hpp"
 #include "request.hpp"
+#include "retry_budget.hpp"
 #include "suspect_requests.hpp"
 #include "upstream_board.hpp"
 #include "upstream_exchange.hpp"
@@ -81,6 +82,7 @@
     std::mt19937_64 m_random;
     upstream_board m_board;
     fleet_caps m_caps;
+    retry_budget m_retries;
     suspect_requests m_suspects;
     upstream_pool m_pool;
     exchange_runner m_exchanges;
--- a/src/edge_traffic.cpp
+++ b/src/edge_traffic.cpp
@@ -96,7 +96,7 @@
 
 void edge_traffic::receive(members_news&& news)
 {
-    m_gossip->add_members(news.m_members);
+    m_gossip->take_list(news.m_members);
 }
 
 void edge_traffic::receive(beliefs_news&& news)
--- a/src/fleet_caps.cpp
+++ b/src/fleet_caps.cpp
@@ -17,11 +17,6 @@
 /// A VM that has just started does not know what its peers admitted.
 constexpr double initial_burst_share = 0.5;
 
-/// Peers' retries of the last moments are not known yet.
-constexpr double retry_safety = 0.92;
-
-constexpr std::chrono::milliseconds retry_cell_length{1000};
-
 /// A VM that has run for longer knows the fleet: a peer that it has not heard
 /// before is new, and so is all that it used.
 constexpr std::chrono::seconds history_age{3};
@@ -114,61 +109,14 @@
     m_updated = now;
 }
 
-retry_window::cell& retry_window::cell_at(time_point now)
-{
-    std::int64_t const number = now.time_since_epoch() / retry_cell_length;
-    auto& found = m_cells[static_cast<std::size_t>(number) % cells];
-    if (found.m_number != number)
-    {
-        found = {number, 0.0, 0.0};
-    }
-    return found;
-}
-
-void retry_window::add_arrived(time_point now, double amount)
-{
-    cell_at(now).m_arrived += amount;
-}
-
-void retry_window::add_retried(time_point now, double amount)
-{
-    cell_at(now).m_retried += amount;
-}
-
-double retry_window::left(
-    time_point now,
-    retry_bounds const& bounds,
-    double share,
-    duration age) const
-{
-    std::int64_t const last = now.time_since_epoch() / retry_cell_length;
-    auto const first = last - bounds.m_window / retry_cell_length;
-    double arrived = 0.0;
-    double retried = 0.0;
-    for (auto const& each : m_cells)
-    {
-        if (each.m_number >= first)
-        {
-            arrived += each.m_arrived;
-            retried += each.m_retried;
-        }
-    }
-    double const listened =
-        std::min(1.0, to_seconds(age) / seconds(bounds.m_window).count());
-    double const budget =
-        bounds.m_ratio * arrived + bounds.m_extra * share * listened;
-    return retry_safety * budget - retried;
-}
-
-fleet_caps::fleet_caps(time_point now, retry_bounds bounds)
-    : m_started(now), m_bounds(bounds)
+fleet_caps::fleet_caps(time_point now) : m_started(now)
 {
 }
 
 void fleet_caps::set_accounts(
     time_point now, std::vector<account_policy> const& accounts)
 {
-    std::unordered_map<cap_tag, account_bucket> buckets;
+    std::unordered_map<account_tag, account_bucket> buckets;
     for (auto const& account : accounts)
     {
         auto const tag = short_hash(account.m_name);
@@ -201,12 +149,14 @@
 
 bool fleet_caps::try_admit(time_point now, account_name const& account)
 {
-    auto const found = m_accounts.find(short_hash(account));
+    auto const tag = short_hash(account);
+    auto const found = m_accounts.find(tag);
     if (found != m_accounts.end() && !found->second.try_take(now))
     {
         return false;
     }
-    count(usage_kind::admitted, account);
+    ++m_own[tag];
+    m_has_news = true;
     return true;
 }
 
@@ -217,38 +167,6 @@
     return found == m_accounts.end() ? duration{} : found->second.wait(now);
 }
 
-void fleet_caps::note_arrival(time_point now, service_name const& service)
-{
-    count(usage_kind::arrived, service);
-    m_retries[short_hash(service)].add_arrived(now, 1.0);
-}
-
-bool fleet_caps::try_retry(time_point now, service_name const& service)
-{
-    if (retries_left(now, service) < 1.0)
-    {
-        return false;
-    }
-    count(usage_kind::retried, service);
-    m_retries[short_hash(service)].add_retried(now, 1.0);
-    return true;
-}
-
-double
-fleet_caps::retries_left(time_point now, service_name const& service) const
-{
-    auto const found = m_retries.find(short_hash(service));
-    static retry_window const unused;
-    auto const& window = found == m_retries.end() ? unused : found->second;
-    return window.left(now, m_bounds, m_view.share(), now - m_started);
-}
-
-void fleet_caps::count(usage_kind kind, std::string_view name)
-{
-    ++m_own[{kind, short_hash(name)}];
-    m_has_news = true;
-}
-
 // What peers used before this VM started is history: the buckets of the others
 // have it. A run that began later begins at zero, so all that it used is news.
 void fleet_caps::receive(
@@ -267,40 +185,27 @@
         from.m_age > own_age + start_spread && own_age < history_age;
     for (auto const& total : totals)
     {
-        count_key const key{total.m_kind, total.m_tag};
         auto const [place, is_first] =
-            peer.m_totals.try_emplace(key, total.m_total);
+            peer.m_totals.try_emplace(total.m_tag, total.m_total);
         if (is_first)
         {
             auto const used = std::min(total.m_total, most_at_first);
-            apply_remote(now, key, is_history ? 0 : used);
+            apply_remote(now, total.m_tag, is_history ? 0 : used);
             continue;
         }
         std::uint64_t const known = place->second;
         place->second = std::max(known, total.m_total);
-        apply_remote(now, key, place->second - known);
+        apply_remote(now, total.m_tag, place->second - known);
     }
 }
 
 void fleet_caps::apply_remote(
-    time_point now, count_key const& key, std::uint64_t amount)
+    time_point now, account_tag account, std::uint64_t amount)
 {
-    auto const value = static_cast<double>(amount);
-    switch (key.first)
+    auto const found = m_accounts.find(account);
+    if (found != m_accounts.end())
     {
-    case usage_kind::admitted:
-        if (auto const found = m_accounts.find(key.second);
-            found != m_accounts.end())
-        {
-            found->second.take_remote(now, value);
-        }
-        return;
-    case usage_kind::arrived:
-        m_retries[key.second].add_arrived(now, value);
-        return;
-    case usage_kind::retried:
-        m_retries[key.second].add_retried(now, value);
-        return;
+        found->second.take_remote(now, static_cast<double>(amount));
     }
 }
 
@@ -308,13 +213,13 @@
 {
     m_has_news = false;
     std::vector<usage_count> taken;
-    for (auto const& [key, total] : m_own)
+    for (auto const& [tag, total] : m_own)
     {
-        auto& sent = m_sent[key];
+        auto& sent = m_sent[tag];
         if (all || sent != total)
         {
             sent = total;
-            taken.push_back({key.first, key.second, total});
+            taken.push_back({tag, total});
         }
     }
     return taken;
--- a/src/fleet_caps.hpp
+++ b/src/fleet_caps.hpp
@@ -1,38 +1,26 @@
 #ifndef BRIARHUB_FLEET_CAPS_HPP
 #define BRIARHUB_FLEET_CAPS_HPP
 
-/// Rates of client accounts and the retry budget, counted over the whole
-/// fleet: each VM tells its peers how much it admitted. Pure: no I/O, reads
-/// no clock.
+/// Rates of client accounts, counted over the whole fleet: each VM tells its
+/// peers how much it admitted. Pure: no I/O, reads no clock.
 
 #include "fleet_policy.hpp"
 #include "tags.hpp"
 
-#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <string_view>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 namespace briarhub
 {
 
-enum class usage_kind : std::uint8_t
-{
-    admitted, ///< requests of an account
-    arrived,  ///< requests for a service
-    retried   ///< requests given to a further upstream of a service
-};
-
-/// What one VM has used since its start.
+/// Requests of one account that a VM has admitted since its start.
 struct usage_count
 {
-    usage_kind m_kind = usage_kind::admitted;
-    cap_tag m_tag = 0;
+    account_tag m_tag = 0;
     std::uint64_t m_total = 0;
 
     friend bool operator==(usage_count const&, usage_count const&) = default;
@@ -85,52 +73,11 @@
     time_point m_updated;
 };
 
-/// Bounds on retries: a share of the requests and a fixed extra.
-struct retry_bounds
-{
-    double m_ratio = 0.2;
-    double m_extra = 0.0; ///< retries per window
-    std::chrono::seconds m_window{10};
-
-    friend bool operator==(retry_bounds const&, retry_bounds const&) = default;
-};
-
-/// Arrivals and retries of one service in the last window.
-class retry_window
-{
-public:
-    void add_arrived(time_point now, double amount);
-    void add_retried(time_point now, double amount);
-
-    /// Retries that the budget still allows. `share` is the part of the fleet
-    /// that is heard, `age` how long this VM has listened.
-    [[nodiscard]] double
-    left(time_point now, retry_bounds const& bounds, double share, duration age)
-        const;
-
-private:
-    static constexpr std::size_t cells = 20;
-    struct cell
-    {
-        std::int64_t m_number = -1;
-        double m_arrived = 0.0;
-        double m_retried = 0.0;
-    };
-
-    cell& cell_at(time_point now);
-
-    std::array<cell, cells> m_cells;
-};
-
 class fleet_caps
 {
 public:
-    fleet_caps(time_point now, retry_bounds bounds);
+    explicit fleet_caps(time_point now);
 
-    void set_bounds(retry_bounds bounds)
-    {
-        m_bounds = bounds;
-    }
     void
     set_accounts(time_point now, std::vector<account_policy> const& accounts);
     void set_view(time_point now, fleet_view view);
@@ -141,13 +88,6 @@
     [[nodiscard]] duration
     admission_wait(time_point now, account_name const& account) const;
 
-    void note_arrival(time_point now, service_name const& service);
-    bool try_retry(time_point now, service_name const& service);
-
-    /// Retries of the service that this VM may still grant.
-    [[nodiscard]] double
-    retries_left(time_point now, service_name const& service) const;
-
     /// Totals of a peer's run; what is new since its last message counts.
     void receive(
         time_point now,
@@ -163,24 +103,20 @@
     std::vector<usage_count> take_totals(bool all);
 
 private:
-    using count_key = std::pair<usage_kind, cap_tag>;
     struct peer_totals
     {
         std::uint32_t m_run = 0;
-        std::map<count_key, std::uint64_t> m_totals;
+        std::map<account_tag, std::uint64_t> m_totals;
     };
 
-    void count(usage_kind kind, std::string_view name);
     void
-    apply_remote(time_point now, count_key const& key, std::uint64_t amount);
+    apply_remote(time_point now, account_tag account, std::uint64_t amount);
 
     time_point m_started;
-    retry_bounds m_bounds;
     fleet_view m_view;
-    std::unordered_map<cap_tag, account_bucket> m_accounts;
-    std::unordered_map<cap_tag, retry_window> m_retries;
-    std::map<count_key, std::uint64_t> m_own;
-    std::map<count_key, std::uint64_t> m_sent;
+    std::unordered_map<account_tag, account_bucket> m_accounts;
+    std::map<account_tag, std::uint64_t> m_own;
+    std::map<account_tag, std::uint64_t> m_sent;
     bool m_has_news = false;
     std::unordered_map<vm_tag, peer_totals> m_peers;
 };
--- a/src/gossip_message.cpp
+++ b/src/gossip_message.cpp
@@ -14,12 +14,12 @@
 
 constexpr double permille = 1000.0;
 
+/// Far above any fleet.
+constexpr std::uint32_t max_fleet_size = 1'000'000;
+
 /// A stated age counts as no more than a year.
 constexpr std::uint64_t max_age_ms = 365ULL * 24 * 3600 * 1000;
 
-constexpr auto last_usage_kind =
-    static_cast<std::uint32_t>(usage_kind::retried);
-
 void write(wire::Gossip& to, upstream_news const& from)
 {
     auto& added = *to.add_upstreams();
@@ -55,21 +55,10 @@
 void write(wire::Gossip& to, usage_count const& from)
 {
     auto& added = *to.add_usage();
-    added.set_kind(static_cast<std::uint32_t>(from.m_kind));
     added.set_tag(from.m_tag);
     added.set_total(from.m_total);
 }
 
-std::optional<usage_count> read(wire::UsageCount const& from)
-{
-    if (from.kind() > last_usage_kind)
-    {
-        return std::nullopt;
-    }
-    return usage_count{
-        static_cast<usage_kind>(from.kind()), from.tag(), from.total()};
-}
-
 void write(wire::UpstreamBelief& to, upstream_belief const& from)
 {
     to.set_upstream(from.m_upstream);
@@ -124,12 +113,7 @@
     }
     for (auto const& item : from.usage())
     {
-        auto const usage = read(item);
-        if (!usage)
-        {
-            return false;
-        }
-        to.m_usage.push_back(*usage);
+        to.m_usage.push_back({item.tag(), item.total()});
     }
     for (auto const& item : from.suspects())
     {
@@ -160,6 +144,7 @@
     to.set_has_store(message.m_state.m_has_store);
     to.set_is_leaving(message.m_is_leaving);
     to.set_wants_members(message.m_wants_members);
+    to.set_fleet_size(static_cast<std::uint32_t>(message.m_fleet_size));
     write_lists(to, message);
 }
 
@@ -182,6 +167,7 @@
     message.m_state.m_has_store = from.has_store();
     message.m_is_leaving = from.is_leaving();
     message.m_wants_members = from.wants_members();
+    message.m_fleet_size = std::min(from.fleet_size(), max_fleet_size);
     if (!read_lists(from, message))
     {
         return std::nullopt;
--- a/src/gossip_message.hpp
+++ b/src/gossip_message.hpp
@@ -10,6 +10,7 @@
 #include "upstream_board.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -54,6 +55,7 @@
     bool m_wants_members = false;
     std::vector<peer_address> m_members;
     std::vector<upstream_belief> m_beliefs; ///< for a newcomer
+    std::size_t m_fleet_size = 0; ///< VMs that the origin counts, 0 if unknown
 
     friend bool
     operator==(gossip_message const&, gossip_message const&) = default;
--- a/src/gossip_service.cpp
+++ b/src/gossip_service.cpp
@@ -276,6 +276,7 @@
         auto const now = runtime_clock::now();
         m_peers.forget_silent(now);
         m_state->m_caps.set_view(now, m_peers.view(now));
+        m_state->m_retries.set_position(m_peers.position(now));
         m_state->m_pool.close_expired(now);
         update_duty(now);
         keep_beliefs(now);
@@ -396,13 +397,15 @@
     }
 }
 
-void gossip_service::add_members(std::vector<peer_address> const& members)
+void gossip_service::take_list(std::vector<peer_address> const& members)
 {
     auto const now = runtime_clock::now();
     for (auto const& member : members)
     {
         m_peers.add(now, member);
     }
+    m_peers.set_list_read();
+    m_state->m_retries.set_position(m_peers.position(now));
 }
 
 void gossip_service::leave()
@@ -431,6 +434,7 @@
     message.m_age = std::chrono::floor<std::chrono::milliseconds>(
         runtime_clock::now() - m_started);
     message.m_sequence = ++m_sequence;
+    message.m_fleet_size = m_peers.named();
     message.m_state = m_held;
     // A new process has no journal of changes yet.
     message.m_state.m_is_following =
--- a/src/gossip_service.hpp
+++ b/src/gossip_service.hpp
@@ -67,7 +67,8 @@
     /// this VM reads the store for them.
     void set_held_state(held_state const& state);
 
-    void add_members(std::vector<peer_address> const& members);
+    /// The VMs that the store lists.
+    void take_list(std::vector<peer_address> const& members);
 
     /// Tells the peers that this VM leaves.
     void leave();
--- a/src/peer_table.cpp
+++ b/src/peer_table.cpp
@@ -33,6 +33,7 @@
     {
         place->second.m_domain = address.m_domain;
         place->second.m_added = now;
+        m_holders.try_emplace(address.m_vm, now);
     }
 }
 
@@ -42,6 +43,8 @@
     {
         return false;
     }
+    m_holders[message.m_origin.m_vm] = now;
+    note_size(now, message.m_fleet_size);
     if (message.m_is_leaving)
     {
         m_peers.erase(message.m_origin.m_vm);
@@ -75,6 +78,48 @@
                 entry.m_was_heard ? entry.m_heard : entry.m_added;
             return now - since >= peer_retention;
         });
+    std::erase_if(
+        m_holders,
+        [&](auto const& item)
+        {
+            return now - item.second >= holder_retention;
+        });
+}
+
+/// Peers tell what they count themselves, so a size that nobody counts any
+/// more runs out.
+void peer_table::note_size(time_point now, std::size_t size)
+{
+    bool const is_old = now - m_size_told >= holder_retention;
+    if (size > 0 && (size >= m_told_size || is_old))
+    {
+        m_told_size = size;
+        m_size_told = now;
+        m_knows_fleet = true;
+    }
+}
+
+std::size_t peer_table::named() const
+{
+    return m_knows_fleet ? m_holders.size() + 1 : 0;
+}
+
+fleet_position peer_table::position(time_point now) const
+{
+    if (!m_knows_fleet)
+    {
+        return {};
+    }
+    bool const is_told = now - m_size_told < holder_retention;
+    auto const before = std::ranges::count_if(
+        m_holders,
+        [&](auto const& item)
+        {
+            return item.first < m_self.m_vm;
+        });
+    return {
+        std::max(named(), is_told ? m_told_size : 0),
+        static_cast<std::size_t>(before)};
 }
 
 bool peer_table::is_live(time_point now, peer const& entry)
--- a/src/peer_table.hpp
+++ b/src/peer_table.hpp
@@ -6,6 +6,7 @@
 
 #include "fleet_caps.hpp"
 #include "gossip_message.hpp"
+#include "retry_budget.hpp"
 #include "tags.hpp"
 
 #include <chrono>
@@ -24,6 +25,10 @@
 /// A peer that is silent for this time is no part of the fleet any more.
 inline constexpr std::chrono::seconds peer_retention{12};
 
+/// A VM that was named or heard within this time may hold a part of a
+/// fleet-wide allowance. Partitions between regions are shorter.
+inline constexpr std::chrono::minutes holder_retention{15};
+
 class peer_table
 {
 public:
@@ -61,6 +66,19 @@
 
     [[nodiscard]] fleet_view view(time_point now) const;
 
+    /// The platform's list of VMs was read and its VMs were added.
+    void set_list_read()
+    {
+        m_knows_fleet = true;
+    }
+
+    /// VMs that may hold a part of a fleet-wide allowance, as far as they were
+    /// named or heard here; 0 while the fleet is not known.
+    [[nodiscard]] std::size_t named() const;
+
+    /// The place of this VM among those that it or a peer counts.
+    [[nodiscard]] fleet_position position(time_point now) const;
+
     /// This VM reads the store for its failure domain: no live VM of the
     /// domain that reaches the store comes before it.
     [[nodiscard]] bool should_follow(time_point now) const;
@@ -90,9 +108,15 @@
     [[nodiscard]] bool
     comes_first(time_point now, std::optional<domain_tag> domain) const;
 
+    void note_size(time_point now, std::size_t size);
+
     peer_address m_self;
     std::mt19937_64 m_random;
     std::map<vm_tag, peer> m_peers;
+    std::map<vm_tag, time_point> m_holders; ///< when last named or heard
+    std::size_t m_told_size = 0;            ///< the most that a peer counted
+    time_point m_size_told{};
+    bool m_knows_fleet = false;
 };
 
 } // namespace briarhub
--- a/src/retry_budget.cpp
+++ b/src/retry_budget.cpp
@@ -1,53 +1,111 @@
 #include "retry_budget.hpp"
 
+#include "tags.hpp"
+
 #include <algorithm>
-#include <chrono>
 
 namespace briarhub
 {
+namespace
+{
+
+/// Part of the fixed extra that is dealt out. An attempt can reach its upstream
+/// later than it was granted, in a window with others.
+constexpr double dealt_share = 0.95;
+
+} // namespace
+
+retry_budget::retry_budget(time_point now, retry_bounds bounds)
+    : m_started(now), m_bounds(bounds)
+{
+}
 
-void retry_budget::set_members(std::size_t members)
+void retry_budget::set_bounds(retry_bounds bounds)
 {
-    m_members = std::max<std::size_t>(members, 1);
+    m_bounds = bounds;
+}
+
+void retry_budget::set_position(fleet_position position)
+{
+    m_position = position;
 }
 
 void retry_budget::request_started(time_point now, service_name const& service)
 {
-    bucket& tokens = refill(now, service);
-    tokens.m_tokens =
-        std::min(tokens.m_tokens + retries_per_request, retry_burst);
+    permits& own = refresh(now, service);
+    if (own.m_returns.empty())
+    {
+        return;
+    }
+    own.m_earned += m_bounds.m_ratio;
+    if (own.m_earned >= 1.0)
+    {
+        own.m_earned -= 1.0;
+        own.m_returns.pop_front();
+    }
 }
 
 bool retry_budget::try_retry(time_point now, service_name const& service)
 {
-    bucket& tokens = refill(now, service);
-    if (tokens.m_tokens < 1.0)
+    permits& own = refresh(now, service);
+    if (own.m_returns.size() >= own.m_held)
     {
         return false;
     }
-    tokens.m_tokens -= 1.0;
+    if (own.m_returns.empty())
+    {
+        own.m_earned = 0.0;
+    }
+    own.m_returns.push_back(now + m_bounds.m_window);
     return true;
 }
 
-// A new bucket starts full, so that the first failure after a start can be
-// retried.
-retry_budget::bucket&
-retry_budget::refill(time_point now, service_name const& service)
+std::size_t retry_budget::left(time_point now, service_name const& service)
 {
-    bucket& tokens = m_buckets[service];
-    if (!tokens.m_started)
+    permits const& own = refresh(now, service);
+    return own.m_held - own.m_returns.size();
+}
+
+/// The permits that an even division leaves over go to other VMs for each
+/// service.
+std::size_t retry_budget::permits_of(std::string_view service) const
+{
+    if (m_position.m_vms == 0)
+    {
+        return 0;
+    }
+    auto const all =
+        static_cast<std::size_t>(std::max(m_bounds.m_extra * dealt_share, 0.0));
+    std::size_t const place =
+        (m_position.m_rank + short_hash(service)) % m_position.m_vms;
+    std::size_t const left_over = all % m_position.m_vms;
+    return all / m_position.m_vms + (place < left_over ? 1 : 0);
+}
+
+// A permit that returns by time takes along what was earned: a window then has
+// no more attempts than the permits and what was earned inside of it.
+retry_budget::permits&
+retry_budget::refresh(time_point now, service_name const& service)
+{
+    auto const [place, is_new] = m_permits.try_emplace(service);
+    permits& own = place->second;
+    std::size_t const held = permits_of(service);
+    // An earlier process, or another VM, may have used what is new here.
+    time_point const new_return =
+        (own.m_is_dealt ? now : m_started) + m_bounds.m_window;
+    own.m_is_dealt = own.m_is_dealt || m_position.m_vms > 0;
+    for (; own.m_held < held; ++own.m_held)
+    {
+        own.m_returns.push_back(new_return);
+    }
+    own.m_held = held;
+    own.m_returns.resize(std::min(own.m_returns.size(), held));
+    while (!own.m_returns.empty() && own.m_returns.front() <= now)
     {
-        tokens.m_started = true;
-        tokens.m_tokens = retry_burst;
-        tokens.m_updated = now;
+        own.m_returns.pop_front();
+        own.m_earned = 0.0;
     }
-    double const seconds =
-        std::chrono::duration<double>(now - tokens.m_updated).count();
-    double const rate = retries_per_second / static_cast<double>(m_members);
-    tokens.m_tokens =
-        std::min(tokens.m_tokens + std::max(seconds, 0.0) * rate, retry_burst);
-    tokens.m_updated = std::max(now, tokens.m_updated);
-    return tokens;
+    return own;
 }
 
 } // namespace briarhub
--- a/src/retry_budget.hpp
+++ b/src/retry_budget.hpp
@@ -1,51 +1,82 @@
 #ifndef BRIARHUB_RETRY_BUDGET_HPP
 #define BRIARHUB_RETRY_BUDGET_HPP
 
-/// Bounds the retries of each service, so that retries cannot amplify an
-/// overload. Pure: no I/O, reads no clock.
+/// Bounds the further attempts of each service over the whole fleet, so that
+/// they cannot amplify an overload. Pure: no I/O, reads no clock.
+///
+/// The fixed part of the budget is dealt out to the VMs as whole permits. A
+/// further attempt uses a permit, which returns after the window, or as soon
+/// as enough requests have come since. So each VM keeps its part by itself, in
+/// any window, whatever it hears of the others.
 
 #include "types.hpp"
 
+#include <chrono>
 #include <cstddef>
-#include <map>
+#include <deque>
+#include <string_view>
+#include <unordered_map>
 
 namespace briarhub
 {
 
-/// Share of the service's requests that may be retries.
-inline constexpr double retries_per_request = 0.1;
+/// Further attempts that a service may get in any window, over all VMs.
+struct retry_bounds
+{
+    double m_ratio = 0.1;  ///< for each request
+    double m_extra = 30.0; ///< besides
+    std::chrono::seconds m_window{10};
+
+    friend bool operator==(retry_bounds const&, retry_bounds const&) = default;
+};
 
-/// Retries per second that the whole fleet may make besides, so that a service
-/// with little traffic can retry at all.
-inline constexpr double retries_per_second = 3.0;
+/// The place of a VM among those that may hold a part of an allowance.
+struct fleet_position
+{
+    std::size_t m_vms = 0;  ///< 0 while the fleet is not known
+    std::size_t m_rank = 0; ///< below `m_vms`, of each VM another
 
-/// Most retries that this VM may make at once after a quiet time.
-inline constexpr double retry_burst = 10.0;
+    friend bool
+    operator==(fleet_position const&, fleet_position const&) = default;
+};
 
 class retry_budget
 {
 public:
-    /// Number of VMs that share `retries_per_second`; 1 until set.
-    void set_members(std::size_t members);
+    /// What an earlier process of this VM used is not known: all permits count
+    /// as used at `now`.
+    retry_budget(time_point now, retry_bounds bounds);
+
+    void set_bounds(retry_bounds bounds);
 
-    /// A first attempt; earns a tenth of a retry.
+    /// No permits until this is known.
+    void set_position(fleet_position position);
+
+    /// A first attempt; `m_ratio` of a further one is earned.
     void request_started(time_point now, service_name const& service);
 
-    /// Takes one retry from the budget; false if it is spent.
+    /// Takes one further attempt from the budget; false if it is spent.
     bool try_retry(time_point now, service_name const& service);
 
+    /// Further attempts that this VM may make now.
+    [[nodiscard]] std::size_t left(time_point now, service_name const& service);
+
 private:
-    struct bucket
+    struct permits
     {
-        double m_tokens = 0.0;
-        time_point m_updated{};
-        bool m_started = false;
+        std::size_t m_held = 0;
+        bool m_is_dealt = false;          ///< the position was known before
+        std::deque<time_point> m_returns; ///< of the used ones, in order
+        double m_earned = 0.0; ///< of a permit, since one was used last
     };
 
-    bucket& refill(time_point now, service_name const& service);
+    [[nodiscard]] std::size_t permits_of(std::string_view service) const;
+    permits& refresh(time_point now, service_name const& service);
 
-    std::map<service_name, bucket> m_buckets;
-    std::size_t m_members = 1;
+    time_point m_started;
+    retry_bounds m_bounds;
+    fleet_position m_position;
+    std::unordered_map<service_name, permits> m_permits;
 };
 
 } // namespace briarhub
--- a/src/retry_run.cpp
+++ b/src/retry_run.cpp
@@ -19,7 +19,6 @@
 using namespace std::chrono_literals;
 
 constexpr duration step = 10ms;
-constexpr duration news_interval = 50ms;
 constexpr duration heartbeat_interval = 500ms;
 constexpr duration min_message_delay = 10ms;
 constexpr duration max_message_delay = 80ms;
@@ -56,7 +55,7 @@
         peer_address self,
         std::uint32_t run,
         retry_bounds const& bounds)
-        : m_started(now), m_run(run), m_peers(self, run), m_caps(now, bounds)
+        : m_started(now), m_run(run), m_peers(self, run), m_retries(now, bounds)
     {
     }
 
@@ -64,7 +63,7 @@
     std::uint32_t m_run;
     std::uint64_t m_sequence = 0;
     peer_table m_peers;
-    fleet_caps m_caps;
+    retry_budget m_retries;
 };
 
 struct machine
@@ -187,7 +186,7 @@
 
     void kill_some()
     {
-        double const share = draw();
+        double const share = m_setup.m_kills_all ? 1.0 : draw();
         bool const is_power = draw() < 0.5;
         for (auto& each : m_machines)
         {
@@ -244,6 +243,8 @@
         {
             fresh.m_peers.add(m_now, each.m_address);
         }
+        fresh.m_peers.set_list_read();
+        fresh.m_retries.set_position(fresh.m_peers.position(m_now));
     }
 
     void deliver()
@@ -268,18 +269,11 @@
             return;
         }
         to.m_process->m_peers.hear(m_now, message);
-        to.m_process->m_caps.receive(
-            m_now,
-            {message.m_origin.m_vm, message.m_run, message.m_age},
-            message.m_usage);
     }
 
     void exchange()
     {
-        bool const is_heartbeat =
-            (m_now - start_time) % heartbeat_interval == duration{};
-        bool const is_news = (m_now - start_time) % news_interval == duration{};
-        if (!is_heartbeat && !is_news)
+        if ((m_now - start_time) % heartbeat_interval != duration{})
         {
             return;
         }
@@ -287,29 +281,22 @@
         {
             if (auto* const running = m_machines[i].m_process.get())
             {
-                tell(i, *running, is_heartbeat);
+                tell(i, *running);
             }
         }
     }
 
-    void tell(std::size_t from, process& running, bool is_heartbeat)
+    void tell(std::size_t from, process& running)
     {
-        if (is_heartbeat)
-        {
-            running.m_peers.forget_silent(m_now);
-            running.m_caps.set_view(m_now, running.m_peers.view(m_now));
-        }
-        else if (!running.m_caps.has_news())
-        {
-            return;
-        }
+        running.m_peers.forget_silent(m_now);
+        running.m_retries.set_position(running.m_peers.position(m_now));
         auto message = std::make_shared<gossip_message>();
         message->m_origin = m_machines[from].m_address;
         message->m_run = running.m_run;
         message->m_age = std::chrono::floor<std::chrono::milliseconds>(
             m_now - running.m_started);
         message->m_sequence = ++running.m_sequence;
-        message->m_usage = running.m_caps.take_totals(is_heartbeat);
+        message->m_fleet_size = running.m_peers.named();
         for (std::size_t to = 0; to < m_machines.size(); ++to)
         {
             bool const is_lost =
@@ -340,20 +327,20 @@
             int const requests = count(m_random);
             for (int i = 0; i < requests && each.m_process; ++i)
             {
-                serve_one(each.m_process->m_caps);
+                serve_one(each.m_process->m_retries);
             }
         }
     }
 
-    void serve_one(fleet_caps& caps)
+    void serve_one(retry_budget& budget)
     {
         ++m_figures.m_requests;
         m_requests.push_back(m_now);
-        caps.note_arrival(m_now, service_name{service});
+        budget.request_started(m_now, service_name{service});
         for (unsigned tries = 1; tries < max_attempts && is_failed(); ++tries)
         {
             ++m_figures.m_wanted;
-            if (!caps.try_retry(m_now, service_name{service}))
+            if (!budget.try_retry(m_now, service_name{service}))
             {
                 return;
             }
--- a/src/retry_run.hpp
+++ b/src/retry_run.hpp
@@ -7,7 +7,7 @@
 /// encodings are not modelled.
 
 #include "clock.hpp"
-#include "fleet_caps.hpp"
+#include "retry_budget.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -23,6 +23,7 @@
     double m_requests_per_s = 13.0; ///< for the service, over the fleet
     retry_bounds m_bounds{0.2, 58.0, std::chrono::seconds{10}};
     bool m_has_kills = true;
+    bool m_kills_all = false; ///< each kill strikes the whole fleet
     bool m_has_cuts = true;
     bool m_has_late_messages = true;
     bool m_has_rejections = true; ///< storms; a few requests fail always
--- a/src/tags.hpp
+++ b/src/tags.hpp
@@ -18,8 +18,8 @@
 /// One lifetime of an upstream.
 using upstream_tag = std::uint32_t;
 
-/// An account or a service.
-using cap_tag = std::uint32_t;
+/// A client account.
+using account_tag = std::uint32_t;
 
 /// 32 bits of FNV-1a, the same on every VM.
 constexpr std::uint32_t short_hash(std::string_view text)
--- a/src/traffic_state.cpp
+++ b/src/traffic_state.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <random>
+#include <span>
 #include <string>
 #include <utility>
 
@@ -85,6 +86,17 @@
     return list;
 }
 
+fleet_position position_of(member const& self, std::span<member const> members)
+{
+    auto const before = std::ranges::count_if(
+        members,
+        [&](member const& each)
+        {
+            return each.m_vm < self.m_vm;
+        });
+    return {members.size(), static_cast<std::size_t>(before)};
+}
+
 } // namespace
 
 traffic_state::traffic_state(
@@ -102,7 +114,8 @@
               return m_health.weight(now, id);
           },
           random_seed()),
-      m_client(io), m_added(metrics.get_latency("briarhub_added_seconds")),
+      m_retries(runtime_clock::now(), retry_bounds{}), m_client(io),
+      m_added(metrics.get_latency("briarhub_added_seconds")),
       m_dispatch_timer(io), m_rate_timer(io)
 {
 }
@@ -243,7 +256,7 @@
     view.m_is_first = message.m_is_first;
     view.m_has_gap = message.m_has_gap;
     m_control_version = std::max(m_control_version, message.m_version);
-    m_retries.set_members(view.m_members.size());
+    m_retries.set_position(position_of(m_self, view.m_members));
     m_rates.set_members(runtime_clock::now(), view);
     poll_rates();
 }
--- a/tests/retry_fleet_test.cpp
+++ b/tests/retry_fleet_test.cpp
@@ -39,6 +39,15 @@
     CHECK(count_broken(setup) == 0);
 }
 
+TEST_CASE("a fleet whose processes were all killed keeps its retry budget")
+{
+    // Each VM took the first totals of its peers for history
+    // (kolamba-tags scale-1, seed 588223350767).
+    retry_setup setup;
+    setup.m_kills_all = true;
+    CHECK(count_broken(setup) == 0);
+}
+
 TEST_CASE("VMs that do not hear each other keep one retry budget")
 {
     retry_setup setup;
