--- /dev/null
+++ b/tests/store_client_test.cpp
@@ -0,0 +1,63 @@
+#include "store_client.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <thread>
+#include <variant>
+
+using namespace briarhub;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+TEST_CASE("an answer and its time limit that are due together end one call")
+{
+    // A process that was paused for longer than the time limit of a call, while
+    // the answer came, closed a connection that was gone, and crashed.
+    asio::io_context io;
+    asio::io_context store_io;
+    asio::ip::tcp::acceptor store{
+        store_io, {asio::ip::make_address("127.0.0.1"), 0}};
+    platform::store_client client{
+        io, "127.0.0.1:" + std::to_string(store.local_endpoint().port())};
+    runtime_clock::pause();
+    std::optional<store_result> result;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void>
+        {
+            result = co_await client.newest(store_topic::policy);
+        },
+        asio::detached);
+    io.run_for(20ms);
+    auto connection = store.accept();
+    std::string request;
+    while (request.find("\r\n\r\n") == std::string::npos)
+    {
+        io.run_for(5ms);
+        asio::read_until(connection, asio::dynamic_buffer(request), "\r\n\r\n");
+    }
+    std::string const body = R"({"items":[],"has_more":false,"end_offset":7})";
+    asio::write(
+        connection,
+        asio::buffer(
+            "HTTP/1.1 200 OK\r\nContent-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n" + body));
+    runtime_clock::advance(10s);
+    std::this_thread::sleep_for(20ms);
+    io.run_for(50ms);
+    runtime_clock::resume();
+    REQUIRE(result);
+    REQUIRE(std::holds_alternative<store_page>(*result));
+    CHECK(std::get<store_page>(*result).m_end == 7);
+}
