Lend retry permits between VMs

A VM without a permit now asks up to three live peers in turn (20 ms each); the permit counts as used where it lies, so the bound holds whether or not the reply arrives. A permit returns 100 ms after the window, for attempts that arrive later than they were granted.

--- a/scripts/retry_margin.py
+++ b/scripts/retry_margin.py
@@ -58,7 +58,7 @@
                 first_end = end
             sent += 1
             runs += not attempt.get("not_run", False)
-        use.denied += "retry_denied" in attempt
+        use.denied += attempt.get("permit_of_peer") is False
         now += attempt.get("took_ms", 0)
     use.most_runs = max(use.most_runs, runs)
 
--- a/src/edge_attempts.cpp
+++ b/src/edge_attempts.cpp
@@ -2,6 +2,9 @@
 
 #include "http_text.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include <algorithm>
 #include <array>
 #include <memory>
@@ -90,7 +93,8 @@
                 co_return broken_answer{};
             }
             keep_failure(what, std::move(result));
-            if (!may_try_again(what))
+            bool const is_again = co_await may_try_again(what);
+            if (!is_again)
             {
                 co_return give_up();
             }
@@ -215,21 +219,54 @@
                 auto const now = runtime_clock::now();
                 m_state.m_board.observe(now, tag, sign::stuck);
                 notify_news();
-                if (may_cut(now))
+                if (!wants_cut(now))
+                {
+                    return;
+                }
+                if (take_own_permit(now))
                 {
-                    m_is_cut = true;
-                    running->stop();
+                    cut(*running);
+                }
+                else
+                {
+                    borrow_and_cut(running);
                 }
             });
     }
 
-    [[nodiscard]] bool may_cut(time_point now)
+    [[nodiscard]] bool wants_cut(time_point now) const
     {
         return m_request.m_route->m_is_idempotent &&
                m_runs + 1 < m_request.m_route->m_max_attempts &&
                m_request.m_deadline - now >
-                   m_request.m_route->m_latency_target / 2 &&
-               take_retry(now);
+                   m_request.m_route->m_latency_target / 2;
+    }
+
+    void cut(exchange_control& running)
+    {
+        m_is_cut = true;
+        running.stop();
+    }
+
+    /// Cuts a slow attempt once a peer has given up a permit. The loop lives
+    /// as long as the attempt's control.
+    void borrow_and_cut(std::shared_ptr<exchange_control> const& control)
+    {
+        asio::co_spawn(
+            m_state.m_io,
+            [](attempt_loop* self,
+               std::weak_ptr<exchange_control> weak,
+               asio::awaitable<bool> borrowed) -> asio::awaitable<void>
+            {
+                bool const is_given = co_await std::move(borrowed);
+                auto const running = weak.lock();
+                if (is_given && running &&
+                    self->wants_cut(runtime_clock::now()))
+                {
+                    self->cut(*running);
+                }
+            }(this, control, m_state.m_borrow_permit(m_request.m_service)),
+            asio::detached);
     }
 
     verdict judge(upstream_entry const& target, exchange_result& result)
@@ -372,34 +409,42 @@
         }
     }
 
-    [[nodiscard]] bool may_try_again(verdict what)
+    asio::awaitable<bool> may_try_again(verdict what)
     {
         auto const now = runtime_clock::now();
         if (m_request.m_caller->is_gone() ||
             now + min_try_time >= m_request.m_deadline)
         {
-            return false;
+            co_return false;
         }
+        bool const is_cut = std::exchange(m_is_cut, false);
         if (what == verdict::not_run)
         {
+            if (m_unrun_tries >= max_unrun_tries)
+            {
+                co_return false;
+            }
             // An upstream that rejected the request was reached, which
             // counts as a retry; one that was not reached does not.
-            bool const is_paid =
-                !std::exchange(m_was_rejected, false) || take_retry(now);
-            return is_paid && m_unrun_tries < max_unrun_tries &&
-                   count_retry("not_run");
+            bool is_paid = !std::exchange(m_was_rejected, false) || is_cut;
+            if (!is_paid)
+            {
+                is_paid = co_await take_permit(now);
+            }
+            co_return is_paid&& count_retry("not_run");
         }
         if (!m_request.m_route->m_is_idempotent ||
             m_runs >= m_request.m_route->m_max_attempts ||
             m_state.m_suspects.is_refused(now, m_request.m_digest))
         {
-            return false;
+            co_return false;
         }
-        if (std::exchange(m_is_cut, false))
+        if (is_cut)
         {
-            return count_retry("slow");
+            co_return count_retry("slow");
         }
-        return take_retry(now) && count_retry("failed");
+        bool const is_paid = co_await take_permit(now);
+        co_return is_paid&& count_retry("failed");
     }
 
     bool count_retry(std::string_view reason)
@@ -408,20 +453,31 @@
         return true;
     }
 
-    /// Takes a further attempt from the budget of the service and logs what
-    /// the budget was.
-    bool take_retry(time_point now)
+    /// Takes a permit for a further attempt, of this VM or of a peer.
+    asio::awaitable<bool> take_permit(time_point now)
     {
+        if (take_own_permit(now))
+        {
+            co_return true;
+        }
+        bool const is_given =
+            co_await m_state.m_borrow_permit(m_request.m_service);
         auto& entry = m_request.m_attempts.back().as_object();
-        entry["retries_left"] =
-            m_state.m_retries.left(now, m_request.m_service);
-        if (m_state.m_retries.try_retry(now, m_request.m_service))
+        entry["permit_of_peer"] = is_given;
+        if (!is_given)
         {
-            return true;
+            m_state.count_denied_retry("budget");
         }
-        entry["retry_denied"] = "budget";
-        m_state.count_denied_retry("budget");
-        return false;
+        // The caller may have left meanwhile.
+        co_return is_given && !m_request.m_caller->is_gone();
+    }
+
+    bool take_own_permit(time_point now)
+    {
+        auto& entry = m_request.m_attempts.back().as_object();
+        entry["permits_left"] =
+            m_state.m_retries.left(now, m_request.m_service);
+        return m_state.m_retries.try_retry(now, m_request.m_service);
     }
 
     /// The final reply of a request that no upstream served.
--- a/src/edge_state.hpp
+++ b/src/edge_state.hpp
@@ -17,6 +17,7 @@
 #include "upstream_exchange.hpp"
 #include "upstream_pool.hpp"
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
@@ -90,6 +91,9 @@
     /// Called when there is news for the peers.
     std::function<void()> m_on_news;
 
+    /// Asks peers for a permit for one retry of the service.
+    std::function<boost::asio::awaitable<bool>(service_name)> m_borrow_permit;
+
     std::size_t m_running = 0; ///< requests that are being served
     bool m_is_stopping = false;
     /// Connections are closed after their current answer.
--- a/src/edge_traffic.cpp
+++ b/src/edge_traffic.cpp
@@ -55,6 +55,10 @@
       m_acceptor(io, listen_endpoint(options.m_listen)),
       m_connections(metrics.get_gauge("briarhub_caller_connections"))
 {
+    m_state->m_borrow_permit = [this](service_name service)
+    {
+        return m_gossip->borrow_permit(std::move(service));
+    };
     m_state->m_on_news = [this]
     {
         m_gossip->schedule_flush();
--- a/src/gossip_message.cpp
+++ b/src/gossip_message.cpp
@@ -130,6 +130,34 @@
     return true;
 }
 
+void write_permits(wire::Gossip& to, gossip_message const& from)
+{
+    if (from.m_permit_ask)
+    {
+        to.mutable_permit_ask()->set_id(from.m_permit_ask->m_id);
+        to.mutable_permit_ask()->set_service(from.m_permit_ask->m_service);
+    }
+    if (from.m_permit_reply)
+    {
+        to.mutable_permit_reply()->set_id(from.m_permit_reply->m_id);
+        to.mutable_permit_reply()->set_is_given(
+            from.m_permit_reply->m_is_given);
+    }
+}
+
+void read_permits(wire::Gossip const& from, gossip_message& to)
+{
+    if (from.has_permit_ask())
+    {
+        to.m_permit_ask = {from.permit_ask().id(), from.permit_ask().service()};
+    }
+    if (from.has_permit_reply())
+    {
+        to.m_permit_reply = {
+            from.permit_reply().id(), from.permit_reply().is_given()};
+    }
+}
+
 void write(wire::Gossip& to, gossip_message const& message)
 {
     to.set_vm(message.m_origin.m_vm);
@@ -145,6 +173,7 @@
     to.set_is_leaving(message.m_is_leaving);
     to.set_wants_members(message.m_wants_members);
     to.set_fleet_size(static_cast<std::uint32_t>(message.m_fleet_size));
+    write_permits(to, message);
     write_lists(to, message);
 }
 
@@ -168,6 +197,7 @@
     message.m_is_leaving = from.is_leaving();
     message.m_wants_members = from.wants_members();
     message.m_fleet_size = std::min(from.fleet_size(), max_fleet_size);
+    read_permits(from, message);
     if (!read_lists(from, message))
     {
         return std::nullopt;
--- a/src/gossip_message.hpp
+++ b/src/gossip_message.hpp
@@ -40,6 +40,23 @@
     friend bool operator==(held_state const&, held_state const&) = default;
 };
 
+/// Asks the receiver to give up a permit for one retry.
+struct permit_ask
+{
+    std::uint64_t m_id = 0;
+    service_name m_service;
+
+    friend bool operator==(permit_ask const&, permit_ask const&) = default;
+};
+
+struct permit_reply
+{
+    std::uint64_t m_id = 0; ///< of the request for it
+    bool m_is_given = false;
+
+    friend bool operator==(permit_reply const&, permit_reply const&) = default;
+};
+
 struct gossip_message
 {
     peer_address m_origin;
@@ -56,6 +73,8 @@
     std::vector<peer_address> m_members;
     std::vector<upstream_belief> m_beliefs; ///< for a newcomer
     std::size_t m_fleet_size = 0; ///< VMs that the origin counts, 0 if unknown
+    std::optional<permit_ask> m_permit_ask;
+    std::optional<permit_reply> m_permit_reply;
 
     friend bool
     operator==(gossip_message const&, gossip_message const&) = default;
--- a/src/gossip_service.cpp
+++ b/src/gossip_service.cpp
@@ -56,6 +56,11 @@
 
 constexpr std::size_t max_datagram_bytes = 64 * 1024;
 
+/// Peers that are asked for a permit, one after the other, and the time that
+/// each has to reply: some round trips between failure domains.
+constexpr std::size_t max_lenders_asked = 3;
+constexpr std::chrono::milliseconds permit_reply_timeout{20};
+
 /// Heartbeats of a new process that ask for the members.
 constexpr unsigned asking_heartbeats = 4;
 
@@ -185,6 +190,14 @@
     {
         answer_newcomer(message);
     }
+    if (message.m_permit_ask)
+    {
+        answer_ask(message.m_origin.m_vm, *message.m_permit_ask);
+    }
+    if (message.m_permit_reply)
+    {
+        take_reply(*message.m_permit_reply);
+    }
     if (message.m_pass_on)
     {
         pass_on(std::move(message));
@@ -269,6 +282,57 @@
     send(message.m_origin.m_vm, encode({&reply, 1}));
 }
 
+/// The permit counts as used here, whether or not the reply arrives.
+void gossip_service::answer_ask(vm_tag from, permit_ask const& ask)
+{
+    bool const is_given =
+        m_state->m_retries.try_retry(runtime_clock::now(), ask.m_service);
+    auto reply = make_message();
+    reply.m_permit_reply = {ask.m_id, is_given};
+    send(from, encode({&reply, 1}));
+}
+
+void gossip_service::take_reply(permit_reply const& reply)
+{
+    auto const found = m_open_asks.find(reply.m_id);
+    if (found != m_open_asks.end())
+    {
+        found->second->set(reply.m_is_given);
+    }
+}
+
+asio::awaitable<bool> gossip_service::borrow_permit(service_name service)
+{
+    auto const self = shared_from_this();
+    for (auto const vm :
+         m_peers.some_live(runtime_clock::now(), max_lenders_asked))
+    {
+        bool const is_given = co_await ask_for_permit(vm, service);
+        if (is_given)
+        {
+            co_return true;
+        }
+    }
+    co_return false;
+}
+
+asio::awaitable<bool>
+gossip_service::ask_for_permit(vm_tag peer, service_name const& service)
+{
+    auto const deadline = runtime_clock::now() + permit_reply_timeout;
+    std::uint64_t const id = ++m_asks;
+    pending_value<bool> reply{m_io.get_executor()};
+    registered_wait<std::uint64_t, bool> const wait{m_open_asks, id, reply};
+    auto message = make_message();
+    message.m_permit_ask = {id, service};
+    send(peer, encode({&message, 1}));
+    co_await reply.wait_until(deadline);
+    // A permit that comes late, after a pause of this process, is not used:
+    // it may have returned to its lender.
+    co_return reply.value().value_or(false) &&
+        runtime_clock::now() < deadline + permit_reply_timeout;
+}
+
 asio::awaitable<void> gossip_service::heartbeat_loop()
 {
     while (!m_is_stopped)
--- a/src/gossip_service.hpp
+++ b/src/gossip_service.hpp
@@ -9,6 +9,7 @@
 #include "edge_state.hpp"
 #include "gossip_message.hpp"
 #include "peer_table.hpp"
+#include "pending_value.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -19,6 +20,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace briarhub
@@ -70,6 +72,10 @@
     /// The VMs that the store lists.
     void take_list(std::vector<peer_address> const& members);
 
+    /// Asks some peers in turn to give up a permit for one retry of the
+    /// service; true if one did.
+    boost::asio::awaitable<bool> borrow_permit(service_name service);
+
     /// Tells the peers that this VM leaves.
     void leave();
 
@@ -89,6 +95,10 @@
     void pass_on(gossip_message&& message);
     void flush_relayed();
     void answer_newcomer(gossip_message const& message);
+    void answer_ask(vm_tag from, permit_ask const& ask);
+    void take_reply(permit_reply const& reply);
+    boost::asio::awaitable<bool>
+    ask_for_permit(vm_tag peer, service_name const& service);
     void flush();
     void tell_news();
     void send_all(gossip_message const& message);
@@ -112,6 +122,8 @@
     std::uint32_t m_run;
     std::uint64_t m_sequence = 0;
     std::vector<gossip_message> m_relayed; ///< to pass on with the next flush
+    std::uint64_t m_asks = 0;
+    std::unordered_map<std::uint64_t, pending_value<bool>*> m_open_asks;
     held_state m_held;
     store_duty m_duty;
     time_point m_last_feed{};
--- a/src/peer_table.cpp
+++ b/src/peer_table.cpp
@@ -1,6 +1,7 @@
 #include "peer_table.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace briarhub
 {
@@ -175,6 +176,26 @@
     return found;
 }
 
+std::vector<vm_tag> peer_table::some_live(time_point now, std::size_t count)
+{
+    std::vector<vm_tag> live;
+    for (auto const& [vm, entry] : m_peers)
+    {
+        if (is_live(now, entry))
+        {
+            live.push_back(vm);
+        }
+    }
+    std::vector<vm_tag> chosen;
+    std::ranges::sample(
+        live,
+        std::back_inserter(chosen),
+        static_cast<std::ptrdiff_t>(count),
+        m_random);
+    std::ranges::shuffle(chosen, m_random);
+    return chosen;
+}
+
 std::vector<peer_address> peer_table::members() const
 {
     std::vector<peer_address> list{m_self};
--- a/src/peer_table.hpp
+++ b/src/peer_table.hpp
@@ -56,6 +56,9 @@
     /// All known VMs of this failure domain.
     [[nodiscard]] std::vector<vm_tag> neighbours() const;
 
+    /// Up to `count` live VMs of the fleet, chosen at random.
+    std::vector<vm_tag> some_live(time_point now, std::size_t count);
+
     [[nodiscard]] std::vector<peer_address> members() const;
 
     /// Known VMs with this one.
--- a/src/retry_budget.cpp
+++ b/src/retry_budget.cpp
@@ -13,6 +13,9 @@
 /// later than it was granted, in a window with others.
 constexpr double dealt_share = 0.95;
 
+/// An attempt may arrive so much later than its permit was taken.
+constexpr std::chrono::milliseconds arrival_slack{100};
+
 } // namespace
 
 retry_budget::retry_budget(time_point now, retry_bounds bounds)
@@ -56,7 +59,7 @@
     {
         own.m_earned = 0.0;
     }
-    own.m_returns.push_back(now + m_bounds.m_window);
+    own.m_returns.push_back(now + m_bounds.m_window + arrival_slack);
     return true;
 }
 
--- a/src/retry_run.cpp
+++ b/src/retry_run.cpp
@@ -29,6 +29,7 @@
 constexpr duration restart_time = 500ms;
 constexpr duration longest_outage = 4s;
 constexpr unsigned max_attempts = 4;
+constexpr std::size_t lenders_asked = 3;
 
 /// Share of attempts that fail without a storm.
 constexpr double usual_failures = 0.08;
@@ -299,11 +300,9 @@
         message->m_fleet_size = running.m_peers.named();
         for (std::size_t to = 0; to < m_machines.size(); ++to)
         {
-            bool const is_lost =
-                to == from || is_cut(m_machines[from]) ||
-                is_cut(m_machines[to]) ||
-                (m_setup.m_has_late_messages && draw() < lost_share);
-            if (!is_lost)
+            bool const is_missed = to == from || is_cut(m_machines[from]) ||
+                                   is_cut(m_machines[to]) || is_lost();
+            if (!is_missed)
             {
                 m_messages.push_back({m_now + message_delay(), to, message});
             }
@@ -327,20 +326,20 @@
             int const requests = count(m_random);
             for (int i = 0; i < requests && each.m_process; ++i)
             {
-                serve_one(each.m_process->m_retries);
+                serve_one(each);
             }
         }
     }
 
-    void serve_one(retry_budget& budget)
+    void serve_one(machine& at)
     {
         ++m_figures.m_requests;
         m_requests.push_back(m_now);
-        budget.request_started(m_now, service_name{service});
+        at.m_process->m_retries.request_started(m_now, service_name{service});
         for (unsigned tries = 1; tries < max_attempts && is_failed(); ++tries)
         {
             ++m_figures.m_wanted;
-            if (!budget.try_retry(m_now, service_name{service}))
+            if (!take_permit(at))
             {
                 return;
             }
@@ -349,6 +348,36 @@
         }
     }
 
+    /// Of the VM or of one of a few peers; the ask and the reply take no time.
+    bool take_permit(machine& at)
+    {
+        service_name const name{service};
+        if (at.m_process->m_retries.try_retry(m_now, name))
+        {
+            return true;
+        }
+        for (auto const vm :
+             at.m_process->m_peers.some_live(m_now, lenders_asked))
+        {
+            machine& lender = m_machines[vm - 1];
+            bool const is_reached = lender.m_process && !is_cut(at) &&
+                                    !is_cut(lender) && !is_lost();
+            bool const is_given =
+                is_reached &&
+                lender.m_process->m_retries.try_retry(m_now, name);
+            if (is_given && !is_lost())
+            {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    bool is_lost()
+    {
+        return m_setup.m_has_late_messages && draw() < lost_share;
+    }
+
     bool is_failed()
     {
         bool const is_storm = std::ranges::any_of(
--- a/tests/edge_policy_test.cpp
+++ b/tests/edge_policy_test.cpp
@@ -475,6 +475,8 @@
     message.m_state = {12, 34, true, true};
     message.m_members = {{1, 2}};
     message.m_fleet_size = 36;
+    message.m_permit_ask = {7, "desk"};
+    message.m_permit_reply = {8, true};
     std::vector<gossip_message> messages{message, message};
     messages[1].m_origin.m_vm = 3;
     messages[1].m_pass_on = false;
