Tell a process that starts which requests crash upstreams

A request that crashes the upstreams that run it was refused after two crashes, but only by processes that had heard of them: a process that started, or a fleet after the loss of all processes, gave it to two further upstreams each time.

A peer that answers a newcomer now adds the suspects that it knows, and the record of beliefs in the store has them too. Counts told this way do not add up with others. test_suspects_outlive_all_machines fails before (one new process runs the request again) and passes after.

Left: a crash is told to the peers in one datagram; one that is lost stays unknown to that peer until the process starts anew.

--- a/src/edge_traffic.cpp
+++ b/src/edge_traffic.cpp
@@ -108,9 +108,12 @@
     m_state->m_events.write(
         "beliefs_adopted",
         {{"upstreams", news.m_beliefs.size()},
+         {"suspects", news.m_suspects.size()},
          {"age_ms",
           std::chrono::floor<std::chrono::milliseconds>(news.m_age).count()}});
-    m_state->m_board.adopt(runtime_clock::now() - news.m_age, news.m_beliefs);
+    auto const told = runtime_clock::now() - news.m_age;
+    m_state->m_board.adopt(told, news.m_beliefs);
+    m_state->m_suspects.adopt(told, news.m_suspects);
 }
 
 void edge_traffic::apply_settings(edge_settings const& options)
--- a/src/gossip_message.cpp
+++ b/src/gossip_message.cpp
@@ -72,8 +72,18 @@
         from.upstream(), std::min(from.sickness_permille() / permille, 1.0)};
 }
 
+void write(wire::SuspectNews& to, suspect_request const& from)
+{
+    to.set_digest(from.m_digest);
+    to.set_crashes(from.m_crashes);
+}
+
 void write_lists(wire::Gossip& to, gossip_message const& from)
 {
+    for (auto const& suspect : from.m_known_suspects)
+    {
+        write(*to.add_known_suspects(), suspect);
+    }
     for (auto const& belief : from.m_beliefs)
     {
         write(*to.add_beliefs(), belief);
@@ -88,9 +98,7 @@
     }
     for (auto const& suspect : from.m_suspects)
     {
-        auto& added = *to.add_suspects();
-        added.set_digest(suspect.m_digest);
-        added.set_crashes(suspect.m_crashes);
+        write(*to.add_suspects(), suspect);
     }
     for (auto const& member : from.m_members)
     {
@@ -119,6 +127,10 @@
     {
         to.m_suspects.push_back({item.digest(), item.crashes()});
     }
+    for (auto const& item : from.known_suspects())
+    {
+        to.m_known_suspects.push_back({item.digest(), item.crashes()});
+    }
     for (auto const& item : from.members())
     {
         to.m_members.push_back({item.vm(), item.domain()});
@@ -247,6 +259,10 @@
     {
         write(*to.add_beliefs(), belief);
     }
+    for (auto const& suspect : record.m_suspects)
+    {
+        write(*to.add_suspects(), suspect);
+    }
     return to.SerializeAsString();
 }
 
@@ -265,6 +281,10 @@
     {
         record.m_beliefs.push_back(read(item));
     }
+    for (auto const& item : from.suspects())
+    {
+        record.m_suspects.push_back({item.digest(), item.crashes()});
+    }
     return record;
 }
 
--- a/src/gossip_message.hpp
+++ b/src/gossip_message.hpp
@@ -71,7 +71,8 @@
     bool m_is_leaving = false;
     bool m_wants_members = false;
     std::vector<peer_address> m_members;
-    std::vector<upstream_belief> m_beliefs; ///< for a newcomer
+    std::vector<upstream_belief> m_beliefs;        ///< for a newcomer
+    std::vector<suspect_request> m_known_suspects; ///< for a newcomer
     std::size_t m_fleet_size = 0; ///< VMs that the origin counts, 0 if unknown
     std::optional<permit_ask> m_permit_ask;
     std::optional<permit_reply> m_permit_reply;
@@ -87,11 +88,13 @@
 std::optional<std::vector<gossip_message>>
 decode_gossip(std::string_view bytes);
 
-/// Beliefs that outlive the VMs in the platform's store.
+/// Beliefs of upstreams and suspects that outlive the VMs in the platform's
+/// store.
 struct belief_record
 {
     wall_time m_written{};
     std::vector<upstream_belief> m_beliefs;
+    std::vector<suspect_request> m_suspects;
 
     friend bool
     operator==(belief_record const&, belief_record const&) = default;
--- a/src/gossip_service.cpp
+++ b/src/gossip_service.cpp
@@ -215,6 +215,7 @@
         {message.m_origin.m_vm, message.m_run, message.m_age},
         message.m_usage);
     m_state->m_suspects.receive(now, message.m_suspects);
+    m_state->m_suspects.adopt(now, message.m_known_suspects);
     for (auto const& member : message.m_members)
     {
         m_peers.add(now, member);
@@ -278,7 +279,9 @@
         members.resize(max_members_told);
     }
     reply.m_members = std::move(members);
-    reply.m_beliefs = m_state->m_board.beliefs(runtime_clock::now());
+    auto const now = runtime_clock::now();
+    reply.m_beliefs = m_state->m_board.beliefs(now);
+    reply.m_known_suspects = m_state->m_suspects.known(now);
     send(message.m_origin.m_vm, encode({&reply, 1}));
 }
 
@@ -393,12 +396,13 @@
         return;
     }
     auto beliefs = m_state->m_board.beliefs(now);
-    if (beliefs.empty())
+    auto suspects = m_state->m_suspects.known(now);
+    if (beliefs.empty() && suspects.empty())
     {
         return;
     }
     m_beliefs_kept = now;
-    m_on_beliefs({wall_now(), std::move(beliefs)});
+    m_on_beliefs({wall_now(), std::move(beliefs), std::move(suspects)});
 }
 
 void gossip_service::schedule_flush()
--- a/src/state_feed.cpp
+++ b/src/state_feed.cpp
@@ -229,10 +229,16 @@
     }
     // Wall clocks of two VMs may differ.
     auto const age = std::max(wall_now() - record->m_written, milliseconds{0});
-    if (age <= max_belief_age)
+    if (age > max_belief_age)
     {
-        m_on_news(beliefs_news{age, std::move(record->m_beliefs)});
+        record->m_beliefs.clear();
     }
+    if (age > suspect_retention)
+    {
+        record->m_suspects.clear();
+    }
+    m_on_news(beliefs_news{
+        age, std::move(record->m_beliefs), std::move(record->m_suspects)});
 }
 
 void state_feed::keep_beliefs(belief_record const& record)
--- a/src/state_feed.hpp
+++ b/src/state_feed.hpp
@@ -54,11 +54,12 @@
     std::vector<peer_address> m_members;
 };
 
-/// To the traffic thread: what the fleet believed of upstreams.
+/// To the traffic thread: what the fleet believed of upstreams and requests.
 struct beliefs_news
 {
     duration m_age{};
     std::vector<upstream_belief> m_beliefs;
+    std::vector<suspect_request> m_suspects;
 };
 
 using feed_news = std::
--- a/src/suspect_requests.cpp
+++ b/src/suspect_requests.cpp
@@ -1,6 +1,7 @@
 #include "suspect_requests.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace briarhub
@@ -73,6 +74,35 @@
     return news;
 }
 
+std::vector<suspect_request> suspect_requests::known(time_point now) const
+{
+    std::vector<suspect_request> all;
+    for (auto const& [digest, suspect] : m_entries)
+    {
+        if (!is_old(now, suspect.m_last_crash))
+        {
+            all.push_back({digest, suspect.m_crashes});
+        }
+    }
+    std::ranges::stable_sort(
+        all, std::ranges::greater{}, &suspect_request::m_crashes);
+    all.resize(std::min(all.size(), max_known_told));
+    return all;
+}
+
+// Several peers tell the same crashes, so counts do not add up.
+void suspect_requests::adopt(
+    time_point now, std::span<suspect_request const> items)
+{
+    for (suspect_request const& item : items)
+    {
+        entry& suspect = m_entries[item.m_digest];
+        suspect.m_crashes = std::max(
+            suspect.m_crashes, std::min(item.m_crashes, suspect_crash_limit));
+        suspect.m_last_crash = now;
+    }
+}
+
 void suspect_requests::forget_old(time_point now)
 {
     std::erase_if(
--- a/src/suspect_requests.hpp
+++ b/src/suspect_requests.hpp
@@ -8,6 +8,7 @@
 #include "types.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <span>
@@ -20,6 +21,9 @@
 /// Crashes after which a request is refused.
 inline constexpr std::uint32_t suspect_crash_limit = 2;
 
+/// Suspects that are told to a new process; some kilobytes.
+inline constexpr std::size_t max_known_told = 64;
+
 /// A suspect is forgotten this long after its last crash.
 inline constexpr std::chrono::minutes suspect_retention{10};
 
@@ -46,6 +50,13 @@
     /// Own news since the last call.
     std::vector<suspect_request> take_news(time_point now);
 
+    /// All crashes that are known, of at most `max_known_told` requests: those
+    /// that crashed most upstreams.
+    [[nodiscard]] std::vector<suspect_request> known(time_point now) const;
+
+    /// What another VM knew, for a process that has just started.
+    void adopt(time_point now, std::span<suspect_request const> items);
+
 private:
     struct entry
     {
--- a/tests/edge/edge_test.py
+++ b/tests/edge/edge_test.py
@@ -417,6 +417,52 @@
         check(not addresses, f"written again: {addresses}")
 
 
+async def test_suspects_outlive_all_machines():
+    """A request that crashes upstreams does so again after each restart."""
+    async with Fleet(machines=2) as fleet:
+        def crash(fields):
+            poisoned = fields["briarhub-request-id"].startswith("p")
+            return "reset" if poisoned else None
+
+        def count_runs():
+            return sum(
+                run[1].startswith("p") for each in fleet.endpoints for run in each.runs
+            )
+
+        for endpoint in fleet.endpoints:
+            endpoint.fault = crash
+
+        async def ask(machine, request_id):
+            return await machine.caller().ask(
+                request_id, "/write/x", method="POST", body=b"poison"
+            )
+
+        for number in range(4):
+            await ask(fleet.machines[number % 2], f"p{number}")
+            await asyncio.sleep(0.2)
+        crashes = count_runs()
+        check(2 <= crashes <= 3, crashes)
+        # The leader writes what the fleet believes about each second.
+        await asyncio.sleep(2.5)
+
+        async def restart(machine):
+            await machine.kill()
+            machine.start()
+            await fleet.until(machine.is_ready, 5)
+            await asyncio.sleep(0.7)
+
+        await restart(fleet.machines[0])
+        await ask(fleet.machines[0], "p-one")
+        check(count_runs() == crashes, "one new process runs it again")
+        for machine in fleet.machines:
+            await machine.kill()
+        for machine in fleet.machines:
+            await restart(machine)
+        for machine in fleet.machines:
+            await ask(machine, "p-all")
+        check(count_runs() == crashes, "a new fleet runs it again")
+
+
 async def test_forgotten_connections():
     """Requests are lost, or refused as if they crashed upstreams, because
     upstreams dropped connections at rest."""
--- a/tests/edge_policy_test.cpp
+++ b/tests/edge_policy_test.cpp
@@ -475,6 +475,7 @@
     message.m_state = {12, 34, true, true};
     message.m_members = {{1, 2}};
     message.m_fleet_size = 36;
+    message.m_known_suspects = {{"digest", 3}};
     message.m_permit_ask = {7, "desk"};
     message.m_permit_reply = {8, true};
     std::vector<gossip_message> messages{message, message};
@@ -634,11 +635,13 @@
     {
         before.observe(at(3ms), tag_of(entries[1]), sign::served);
     }
-    auto const bytes =
-        encode(belief_record{wall_now(), before.beliefs(at(10ms))});
+    auto const bytes = encode(
+        belief_record{wall_now(), before.beliefs(at(10ms)), {{"digest", 2}}});
     auto const record = decode_beliefs(bytes);
     REQUIRE(record);
     REQUIRE(record->m_beliefs.size() == 2);
+    REQUIRE(record->m_suspects.size() == 1);
+    CHECK(record->m_suspects[0] == suspect_request{"digest", 2});
 
     // The beliefs may come before the directory or after it.
     upstream_board early{"z1", 8};
--- a/tests/retry_test.cpp
+++ b/tests/retry_test.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <string>
+
 using namespace briarhub;
 using namespace std::chrono_literals;
 
@@ -138,6 +140,31 @@
     CHECK_FALSE(peer.is_refused(now, "d"));
 }
 
+TEST_CASE("a process that starts learns which requests crashed upstreams")
+{
+    // After a restart the request would crash two further upstreams, again
+    // after each kill.
+    suspect_requests here;
+    time_point const now{1h};
+    here.report_crash(now, "d");
+    here.report_crash(now, "d");
+    here.report_crash(now, "once");
+    suspect_requests fresh;
+    fresh.adopt(now, here.known(now));
+    fresh.adopt(now, here.known(now));
+    CHECK(fresh.is_refused(now, "d"));
+    CHECK(fresh.is_suspect(now, "once"));
+    CHECK_FALSE(fresh.is_refused(now, "once"));
+    CHECK(fresh.take_news(now).empty());
+    for (std::size_t i = 0; i < 2 * max_known_told; ++i)
+    {
+        here.report_crash(now, std::to_string(i));
+    }
+    CHECK(here.known(now).size() == max_known_told);
+    CHECK(here.known(now)[0].m_digest == "d");
+    CHECK(here.known(now + suspect_retention).empty());
+}
+
 TEST_CASE("a suspect is forgotten after a quiet time")
 {
     // The request may run again once the upstreams are mended.
