Start accounts at the level that peers know, not at half of the burst

A peer that answers a newcomer tells the levels of accounts; a process that hears none begins with a tenth of the burst.

--- a/src/fleet_caps.cpp
+++ b/src/fleet_caps.cpp
@@ -14,8 +14,13 @@
 /// VMs move to the others, and accounts rarely use their whole rate.
 constexpr double generosity = 1.3;
 
-/// A VM that has just started does not know what its peers admitted.
-constexpr double initial_burst_share = 0.5;
+/// A process that starts does not know what the fleet admitted before. Its
+/// peers tell it; if all were killed, accounts begin with this part of their
+/// burst.
+constexpr double initial_burst_share = 0.1;
+
+/// Levels that peers tell are taken over for so long after the start.
+constexpr std::chrono::seconds adoption_time{2};
 
 /// A VM that has run for longer knows the fleet: a peer that it has not heard
 /// before is new, and so is all that it used.
@@ -86,6 +91,18 @@
     m_tokens = std::max(m_tokens - amount, -m_burst);
 }
 
+double account_bucket::level(time_point now)
+{
+    refill(now);
+    return m_tokens;
+}
+
+void account_bucket::set_level(time_point now, double tokens)
+{
+    m_tokens = std::clamp(tokens, -m_burst, m_burst);
+    m_updated = std::max(m_updated, now);
+}
+
 duration account_bucket::wait(time_point now) const
 {
     double const rate = m_rate * m_share;
@@ -125,6 +142,11 @@
         {
             account_bucket fresh{now, account.m_rate, account.m_burst};
             fresh.set_share(now, m_view.share());
+            auto const told = m_told.find(tag);
+            if (told != m_told.end() && now - m_started <= adoption_time)
+            {
+                fresh.set_level(now, told->second);
+            }
             buckets.emplace(tag, fresh);
             continue;
         }
@@ -199,6 +221,41 @@
     }
 }
 
+std::vector<account_level> fleet_caps::levels(time_point now)
+{
+    std::vector<account_level> told;
+    for (auto& [tag, bucket] : m_accounts)
+    {
+        if (told.size() == max_levels_told)
+        {
+            break;
+        }
+        told.push_back({tag, bucket.level(now)});
+    }
+    return told;
+}
+
+// The peer may not have heard yet what this process admitted since its start.
+void fleet_caps::adopt_levels(
+    time_point now, std::vector<account_level> const& levels)
+{
+    if (now - m_started > adoption_time)
+    {
+        return;
+    }
+    for (auto const& level : levels)
+    {
+        bool const is_first =
+            m_told.try_emplace(level.m_tag, level.m_tokens).second;
+        auto const found = m_accounts.find(level.m_tag);
+        if (is_first && found != m_accounts.end())
+        {
+            auto const own = static_cast<double>(m_own[level.m_tag]);
+            found->second.set_level(now, level.m_tokens - own);
+        }
+    }
+}
+
 void fleet_caps::apply_remote(
     time_point now, account_tag account, std::uint64_t amount)
 {
--- a/src/fleet_caps.hpp
+++ b/src/fleet_caps.hpp
@@ -26,6 +26,16 @@
     friend bool operator==(usage_count const&, usage_count const&) = default;
 };
 
+/// What an account may still use at once, over the fleet.
+struct account_level
+{
+    account_tag m_tag = 0;
+    double m_tokens = 0.0; ///< requests
+
+    friend bool
+    operator==(account_level const&, account_level const&) = default;
+};
+
 /// One run of a peer's process.
 struct peer_run
 {
@@ -60,6 +70,11 @@
     /// Peers admitted requests; the bucket may go below zero.
     void take_remote(time_point now, double amount);
 
+    [[nodiscard]] double level(time_point now);
+
+    /// Replaces the level by what a peer told.
+    void set_level(time_point now, double tokens);
+
     /// Time until a token is there.
     [[nodiscard]] duration wait(time_point now) const;
 
@@ -73,6 +88,9 @@
     time_point m_updated;
 };
 
+/// One kilobyte.
+inline constexpr std::size_t max_levels_told = 100;
+
 class fleet_caps
 {
 public:
@@ -94,6 +112,13 @@
         peer_run const& from,
         std::vector<usage_count> const& totals);
 
+    /// Levels of at most `max_levels_told` accounts, for a process that has
+    /// just started.
+    [[nodiscard]] std::vector<account_level> levels(time_point now);
+
+    /// Takes over a peer's levels; those that come later are ignored.
+    void adopt_levels(time_point now, std::vector<account_level> const& levels);
+
     [[nodiscard]] bool has_news() const
     {
         return m_has_news;
@@ -115,6 +140,7 @@
     time_point m_started;
     fleet_view m_view;
     std::unordered_map<account_tag, account_bucket> m_accounts;
+    std::map<account_tag, double> m_told; ///< first level that a peer told
     std::map<account_tag, std::uint64_t> m_own;
     std::map<account_tag, std::uint64_t> m_sent;
     bool m_has_news = false;
--- a/src/gossip_message.cpp
+++ b/src/gossip_message.cpp
@@ -3,6 +3,7 @@
 #include "gossip.pb.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace briarhub
 {
@@ -80,6 +81,12 @@
 
 void write_lists(wire::Gossip& to, gossip_message const& from)
 {
+    for (auto const& level : from.m_levels)
+    {
+        auto& added = *to.add_levels();
+        added.set_tag(level.m_tag);
+        added.set_tokens(static_cast<std::int32_t>(std::floor(level.m_tokens)));
+    }
     for (auto const& suspect : from.m_known_suspects)
     {
         write(*to.add_known_suspects(), suspect);
@@ -127,6 +134,10 @@
     {
         to.m_suspects.push_back({item.digest(), item.crashes()});
     }
+    for (auto const& item : from.levels())
+    {
+        to.m_levels.push_back({item.tag(), static_cast<double>(item.tokens())});
+    }
     for (auto const& item : from.known_suspects())
     {
         to.m_known_suspects.push_back({item.digest(), item.crashes()});
--- a/src/gossip_message.hpp
+++ b/src/gossip_message.hpp
@@ -73,6 +73,7 @@
     std::vector<peer_address> m_members;
     std::vector<upstream_belief> m_beliefs;        ///< for a newcomer
     std::vector<suspect_request> m_known_suspects; ///< for a newcomer
+    std::vector<account_level> m_levels;           ///< for a newcomer
     std::size_t m_fleet_size = 0; ///< VMs that the origin counts, 0 if unknown
     std::optional<permit_ask> m_permit_ask;
     std::optional<permit_reply> m_permit_reply;
--- a/src/gossip_service.cpp
+++ b/src/gossip_service.cpp
@@ -216,6 +216,7 @@
         message.m_usage);
     m_state->m_suspects.receive(now, message.m_suspects);
     m_state->m_suspects.adopt(now, message.m_known_suspects);
+    m_state->m_caps.adopt_levels(now, message.m_levels);
     for (auto const& member : message.m_members)
     {
         m_peers.add(now, member);
@@ -282,6 +283,7 @@
     auto const now = runtime_clock::now();
     reply.m_beliefs = m_state->m_board.beliefs(now);
     reply.m_known_suspects = m_state->m_suspects.known(now);
+    reply.m_levels = m_state->m_caps.levels(now);
     send(message.m_origin.m_vm, encode({&reply, 1}));
 }
 
--- a/tests/edge_policy_test.cpp
+++ b/tests/edge_policy_test.cpp
@@ -364,6 +364,7 @@
     account.m_burst = 100;
     caps.set_accounts(at(0ms), {account});
     caps.set_view(at(0ms), {2, 2});
+    caps.adopt_levels(at(0ms), {{short_hash("acme"), 50.0}});
     auto const total = [](std::uint64_t count)
     {
         return std::vector<usage_count>{{short_hash("acme"), count}};
@@ -377,7 +378,6 @@
     {
         ++granted;
     }
-    // A new bucket holds half of the burst.
     CHECK(granted == 50 - 15);
 }
 
@@ -476,6 +476,7 @@
     message.m_members = {{1, 2}};
     message.m_fleet_size = 36;
     message.m_known_suspects = {{"digest", 3}};
+    message.m_levels = {{9, -3.0}, {10, 40.0}};
     message.m_permit_ask = {7, "desk"};
     message.m_permit_reply = {8, true};
     std::vector<gossip_message> messages{message, message};
@@ -589,6 +590,7 @@
     account.m_burst = 50;
     caps.set_accounts(at(0ms), {account});
     caps.set_view(at(0ms), {36, 36});
+    caps.adopt_levels(at(0ms), {{short_hash("acme"), 25.0}});
     for (vm_tag peer = 1; peer <= 35; ++peer)
     {
         caps.receive(
