Tell newcomers less; begin accounts at a fifth of the burst

Each of the four requests for the members was answered with up to 64 suspects by every peer that it reached; now the first two, with 16.

--- a/src/fleet_caps.cpp
+++ b/src/fleet_caps.cpp
@@ -17,7 +17,7 @@
 /// A process that starts does not know what the fleet admitted before. Its
 /// peers tell it; if all were killed, accounts begin with this part of their
 /// burst.
-constexpr double initial_burst_share = 0.1;
+constexpr double initial_burst_share = 0.2;
 
 /// Levels that peers tell are taken over for so long after the start.
 constexpr std::chrono::seconds adoption_time{2};
--- a/src/gossip_service.cpp
+++ b/src/gossip_service.cpp
@@ -61,6 +61,9 @@
 constexpr std::size_t max_lenders_asked = 3;
 constexpr std::chrono::milliseconds permit_reply_timeout{20};
 
+/// A process that asks for the members again later has heard the rest.
+constexpr std::chrono::milliseconds told_age{800};
+
 /// Heartbeats of a new process that ask for the members.
 constexpr unsigned asking_heartbeats = 4;
 
@@ -282,8 +285,11 @@
     reply.m_members = std::move(members);
     auto const now = runtime_clock::now();
     reply.m_beliefs = m_state->m_board.beliefs(now);
-    reply.m_known_suspects = m_state->m_suspects.known(now);
-    reply.m_levels = m_state->m_caps.levels(now);
+    if (message.m_age < told_age)
+    {
+        reply.m_known_suspects = m_state->m_suspects.known(now);
+        reply.m_levels = m_state->m_caps.levels(now);
+    }
     send(message.m_origin.m_vm, encode({&reply, 1}));
 }
 
--- a/src/suspect_requests.hpp
+++ b/src/suspect_requests.hpp
@@ -21,8 +21,8 @@
 /// Crashes after which a request is refused.
 inline constexpr std::uint32_t suspect_crash_limit = 2;
 
-/// Suspects that are told to a new process; some kilobytes.
-inline constexpr std::size_t max_known_told = 64;
+/// Suspects that are told to a new process; half a kilobyte.
+inline constexpr std::size_t max_known_told = 16;
 
 /// A suspect is forgotten this long after its last crash.
 inline constexpr std::chrono::minutes suspect_retention{10};
