Bound what is read of an upstream before it is parsed

An upstream that sends the size line of a chunk without end filled the memory of the VM until the request's time was over: 139 MB in 1.2 s, and 27 MB for a chunk extension; a VM has 160 to 260 MB. The read buffer of an upstream connection is now limited to 256 KiB; the exchange then ends as damaged.

test_endless_answers plays nine kinds of bytes without end in heads and bodies against a real process: before, endless_chunk_size grew the process by 139,072 KiB; after, none grows it by 16 MiB, each request ends within its time, no connection is read on, and nothing passes for a whole answer. The other eight kinds kept this before as well, but for endless_extension.

--- a/src/upstream_pool.hpp
+++ b/src/upstream_pool.hpp
@@ -24,6 +24,10 @@
 /// connections, and 36 VMs share it.
 inline constexpr std::size_t max_idle_connections = 8;
 
+/// Bytes that are read and not yet parsed. An upstream may send the head of an
+/// answer or of a chunk without end.
+inline constexpr std::size_t max_buffered_bytes = 256UL * 1024;
+
 /// One connection to an upstream, used for one request at a time.
 struct upstream_connection
 {
@@ -36,7 +40,7 @@
     upstream_connection& operator=(upstream_connection const&) = delete;
 
     boost::asio::ip::tcp::socket m_socket;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer{max_buffered_bytes};
     endpoint_address m_address;
     bool m_reused = false;
     /// The upstream closes the connection if it is idle until then.
--- a/tests/edge/edge_test.py
+++ b/tests/edge/edge_test.py
@@ -15,9 +15,13 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
+from stand_ins import ENDLESS  # noqa: E402
 from fleet import GOSSIP_PORT, Fleet, limits, route, service, tenant, usual_resources  # noqa: E402
 
 
+# `timeout_ms` of the fleet's routes.
+ROUTE_TIME_LIMIT_S = 1.2
+
 # `budget_window_s` of the fleet's settings.
 RETRY_WINDOW_S = 10
 
@@ -463,6 +467,64 @@
         check(count_runs() == crashes, "a new fleet runs it again")
 
 
+def reset_peak_memory(machine):
+    with open(f"/proc/{machine.process.pid}/clear_refs", "w", encoding="utf-8") as file:
+        file.write("5")
+
+
+def peak_memory_kib(machine):
+    with open(f"/proc/{machine.process.pid}/status", encoding="utf-8") as status:
+        return int(re.search(r"VmHWM:\s+(\d+)", status.read()).group(1))
+
+
+async def read_all(machine, request_id):
+    """First and last bytes until the connection ends or rests, and the time."""
+    caller = machine.caller()
+    started = time.time()
+    await caller.send(request_id, "/write/x", method="POST")
+    first = last = b""
+    while True:
+        try:
+            data = await asyncio.wait_for(caller.reader.read(65536), 3)
+        except asyncio.TimeoutError:
+            break
+        if not data:
+            break
+        ended = time.time()
+        first = first or data
+        last = (last + data)[-16:]
+    caller.close()
+    return first, last, ended - started
+
+
+async def test_endless_answers():
+    """Bytes without end from an upstream use up the memory of a VM, hold a
+    request past its time or pass for an answer."""
+    async with Fleet(machines=1) as fleet:
+        machine = fleet.machines[0]
+        check((await machine.caller().ask("e0", "/write/x", method="POST")).status == 200,
+              "before")
+        for fault in ENDLESS:
+            reset_peak_memory(machine)
+            before = peak_memory_kib(machine)
+            for endpoint in fleet.endpoints:
+                endpoint.fault = lambda fields, fault=fault: fault
+            first, last, took_s = await read_all(machine, f"e-{fault}")
+            grown = peak_memory_kib(machine) - before
+            is_whole = b" 200 " in first[:16] and last.endswith(b"\r\n0\r\n\r\n")
+            check(first and not is_whole, f"{fault}: passed on as a whole answer")
+            check(took_s < ROUTE_TIME_LIMIT_S + 0.5, (fault, took_s))
+            check(grown < 16 * 1024, f"{fault}: {grown} KiB more")
+            for endpoint in fleet.endpoints:
+                endpoint.fault = None
+            await asyncio.sleep(0.5)
+            sent = sum(each.endless_bytes for each in fleet.endpoints)
+            await asyncio.sleep(0.3)
+            check(sum(each.endless_bytes for each in fleet.endpoints) == sent,
+                  f"{fault}: the connection is still read")
+            check(machine.process.poll() is None, "the process ended")
+
+
 async def test_forgotten_connections():
     """Requests are lost, or refused as if they crashed upstreams, because
     upstreams dropped connections at rest."""
--- a/tests/edge/stand_ins.py
+++ b/tests/edge/stand_ins.py
@@ -205,6 +205,24 @@
         return response(200, {}, text)
 
 
+# How an answer begins and what follows without end.
+ENDLESS = {
+    "endless_start": ("", b"x" * 65536),
+    "endless_field": ("HTTP/1.1 200 X\r\nHEADX-Long: ", b"x" * 65536),
+    "endless_fields": ("HTTP/1.1 200 X\r\nHEAD", b"X-Field: x\r\n" * 6000),
+    "endless_interim": ("", b"HTTP/1.1 102 X\r\n\r\n" * 3000),
+    "endless_body": ("HTTP/1.1 200 X\r\nHEADConnection: close\r\n\r\n", b"x" * 65536),
+    "endless_failure": ("HTTP/1.1 500 X\r\nHEADConnection: close\r\n\r\n", b"x" * 65536),
+    "endless_chunk_size": (
+        "HTTP/1.1 200 X\r\nHEADTransfer-Encoding: chunked\r\n\r\n", b"0" * 65536),
+    "endless_extension": (
+        "HTTP/1.1 200 X\r\nHEADTransfer-Encoding: chunked\r\n\r\n5;a=", b"x" * 65536),
+    "endless_trailer": (
+        "HTTP/1.1 200 X\r\nHEADTransfer-Encoding: chunked\r\n\r\n0\r\nX-Long: ",
+        b"x" * 65536),
+}
+
+
 class Endpoint(Server):
     """A back end that registers itself and counts what it runs."""
 
@@ -222,6 +240,7 @@
         self.runs = []  # (time, request id, fields, body)
         self.cancelled = []
         self.fault = None  # callable(fields) -> name of a fault, or None
+        self.endless_bytes = 0  # sent by faults of ENDLESS
         self.forgets_after_s = None  # resets connections that rested longer
         self.running = 0
 
@@ -245,6 +264,19 @@
     async def unregister(self):
         await self.store.put("keyed.servers", self.name, None)
 
+    async def send_endlessly(self, writer, fault, own):
+        """Bytes that are no answer, in a head or a body, until the caller closes."""
+        start, rest = ENDLESS[fault]
+        head = "".join(f"{name}: {value}\r\n" for name, value in own.items())
+        writer.write(start.replace("HEAD", head).encode())
+        try:
+            while not writer.transport.is_closing():
+                writer.write(rest)
+                self.endless_bytes += len(rest)
+                await writer.drain()
+        except ConnectionError:
+            pass
+
     def seal(self, request_id):
         return f"seal-{self.name}-{request_id}"
 
@@ -319,6 +351,9 @@
                 writer.write(head.encode() + b"\r\n" + text)
                 await writer.drain()
                 return
+            elif fault in ENDLESS:
+                await self.send_endlessly(writer, fault, own)
+                return
             elif fault == "large":
                 writer.write(response(200, own, b"x" * 6_000_000))
             else:
