--- a/src/briar_bench_main.cpp
+++ b/src/briar_bench_main.cpp
@@ -5,6 +5,7 @@
 #include "claim_bench.hpp"
 #include "health_bench.hpp"
 #include "rate_bench.hpp"
+#include "retry_bench.hpp"
 
 #include <cxxopts.hpp>
 #include <spdlog/fmt/fmt.h>
@@ -51,6 +52,10 @@
         "dispatch",
         "success of the worst-served account under a flood",
         run_dispatch_bench},
+    subcommand{
+        "retries",
+        "margin and use of the retry budget under kills and cuts",
+        run_retry_bench},
 };
 
 subcommand const* find_subcommand(std::string_view name)
