Refuse requests that a stopping process cannot finish

Reported by other operators, and possible here: requests that came late in the grace period of a planned stop were passed on and cut at its end without a response, also non-idempotent ones. Cause: a stopping process admitted requests until it ended, and nothing compared their deadlines with the time left; at the end it closed the connections of running requests. Ruled out: the order in which idle connections are closed, and the time of the exit.

Once the load balancer has had time to remove the VM, only requests whose deadlines lie before the interruption of running requests are admitted; others get 503, stopping, at once. What still runs 0.3 s before the end of the grace period is interrupted, and its caller gets 502, or 503 if it has not run.

shutdown_test.py, on: requests sent 1.50 s and 1.86 s after the signal ran and got no response, and requests longer than the grace period got a closed connection. Now its five tests pass.

--- a/src/edge_attempts.cpp
+++ b/src/edge_attempts.cpp
@@ -111,7 +111,7 @@
     std::optional<upstream_entry> choose_upstream()
     {
         auto const now = runtime_clock::now();
-        if (now + min_attempt_time >= m_request.m_deadline)
+        if (has_ended() || now + min_attempt_time >= m_request.m_deadline)
         {
             return std::nullopt;
         }
@@ -142,8 +142,9 @@
             *m_request.m_caller,
             [this, control]
             {
-                // A request that is not idempotent runs to its end.
-                if (m_request.m_route->m_is_idempotent)
+                // A request that is not idempotent runs on without its caller.
+                if (m_request.m_route->m_is_idempotent ||
+                    m_request.m_caller->is_interrupted())
                 {
                     control->stop();
                 }
@@ -332,9 +333,12 @@
             observe(observation::no_response);
             return exchange_outcome::failed;
         case exchange_end::stopped:
-            return m_request.m_caller->is_disconnected()
-                       ? exchange_outcome::abandoned
-                       : exchange_outcome::failed;
+            if (m_request.m_caller->is_disconnected())
+            {
+                return exchange_outcome::abandoned;
+            }
+            return result.m_sent ? exchange_outcome::failed
+                                 : exchange_outcome::not_executed;
         }
         return exchange_outcome::failed;
     }
@@ -469,8 +473,7 @@
     asio::awaitable<bool> may_retry(exchange_outcome outcome)
     {
         auto const now = runtime_clock::now();
-        if (m_request.m_caller->is_disconnected() ||
-            now + min_attempt_time >= m_request.m_deadline)
+        if (has_ended() || now + min_attempt_time >= m_request.m_deadline)
         {
             co_return false;
         }
@@ -526,8 +529,14 @@
         {
             m_state.count_denied_retry("budget");
         }
-        // The caller may have disconnected in the meantime.
-        co_return is_granted && !m_request.m_caller->is_disconnected();
+        co_return is_granted && !has_ended();
+    }
+
+    /// True if the caller disconnected or the request was interrupted.
+    [[nodiscard]] bool has_ended() const
+    {
+        return m_request.m_caller->is_disconnected() ||
+               m_request.m_caller->is_interrupted();
     }
 
     bool acquire_local_permit(time_point now)
@@ -554,7 +563,10 @@
         if (m_executed_attempts == 0)
         {
             m_request.m_outcome = "refused";
-            return refusal{result_code::no_upstream, retry_after()};
+            auto const code = m_request.m_caller->is_interrupted()
+                                  ? result_code::stopping
+                                  : result_code::no_upstream;
+            return refusal{code, retry_after()};
         }
         m_request.m_outcome = "failed";
         if (m_has_timed_out)
--- a/src/edge_filters.cpp
+++ b/src/edge_filters.cpp
@@ -21,6 +21,9 @@
 /// once the store or a peer responds.
 constexpr std::chrono::milliseconds starting_retry_after{300};
 
+/// Retry-After while this VM is stopping. Another VM can serve the request.
+constexpr std::chrono::milliseconds stopping_retry_after{50};
+
 /// Bounds of the Retry-After sent to an account over its rate.
 constexpr duration min_rate_retry_after = std::chrono::milliseconds{100};
 constexpr duration max_rate_retry_after = std::chrono::seconds{2};
@@ -45,6 +48,11 @@
 {
 };
 
+/// Refuses requests that may still run when a stopping process ends.
+struct stop_filter
+{
+};
+
 /// Refuses requests that were in flight during several upstream crashes.
 struct suspect_filter
 {
@@ -60,14 +68,16 @@
     route_match_filter,
     account_filter,
     service_filter,
+    stop_filter,
     suspect_filter,
     rate_filter>;
 
-constexpr std::array<edge_filter, 6> filters{
+constexpr std::array<edge_filter, 7> filters{
     policy_filter{},
     route_match_filter{},
     account_filter{},
     service_filter{},
+    stop_filter{},
     suspect_filter{},
     rate_filter{}};
 
@@ -161,6 +171,18 @@
     return std::nullopt;
 }
 
+std::optional<refusal>
+run(stop_filter, edge_state& state, edge_request& request)
+{
+    bool const has_time = !state.m_last_response_time ||
+                          request.m_deadline <= *state.m_last_response_time;
+    if (has_time)
+    {
+        return std::nullopt;
+    }
+    return refusal{result_code::stopping, duration{stopping_retry_after}};
+}
+
 std::optional<refusal>
 run(suspect_filter, edge_state& state, edge_request& request)
 {
--- a/src/edge_server.cpp
+++ b/src/edge_server.cpp
@@ -27,10 +27,11 @@
 /// checks.
 constexpr std::chrono::milliseconds balancer_removal_delay{2600};
 
-/// Time left of the grace period when idle connections are closed and when the
-/// drain ends.
+/// Time left of the grace period when idle connections are closed, when
+/// requests in progress are interrupted and when the drain ends.
 constexpr std::chrono::milliseconds idle_close_margin{2000};
-constexpr std::chrono::milliseconds exit_margin{300};
+constexpr std::chrono::milliseconds interrupt_margin{300};
+constexpr std::chrono::milliseconds exit_margin{150};
 
 constexpr std::chrono::milliseconds drain_check_interval{50};
 
@@ -191,6 +192,8 @@
 
 /// New callers may arrive until two checks of the load balancer have failed,
 /// and connected callers may send requests until their connections are closed.
+/// After that time only requests whose deadlines lie within the grace period
+/// are admitted, so that no request is admitted and then interrupted.
 asio::awaitable<void>
 edge_server::drain_connections(std::function<void()> on_stopped)
 {
@@ -200,33 +203,16 @@
     drain_timer.expires_at(
         start + std::min(balancer_removal_delay, grace_period / 2));
     co_await drain_timer.async_wait(use_tuple);
-    m_state->m_closes_after_response = true;
     auto const idle_close =
         start + std::max(grace_period - idle_close_margin, grace_period / 2);
-    auto const end = start + grace_period - exit_margin;
-    bool is_idle_closed = false;
-    for (;;)
-    {
-        auto const now = runtime_clock::now();
-        remove_ended_sessions();
-        if (!is_idle_closed && now >= idle_close)
-        {
-            is_idle_closed = true;
-            for (auto const& weak : m_sessions)
-            {
-                if (auto const session = weak.lock())
-                {
-                    session->close_if_idle();
-                }
-            }
-        }
-        if (m_sessions.empty() || now >= end)
-        {
-            break;
-        }
-        drain_timer.expires_after(drain_check_interval);
-        co_await drain_timer.async_wait(use_tuple);
-    }
+    auto const interrupt_time = start + grace_period - interrupt_margin;
+    m_state->m_closes_after_response = true;
+    m_state->m_last_response_time = interrupt_time;
+    co_await wait_for_sessions(idle_close);
+    for_each_session(&edge_session::close_if_idle);
+    co_await wait_for_sessions(interrupt_time);
+    for_each_session(&edge_session::interrupt_request);
+    co_await wait_for_sessions(start + grace_period - exit_margin);
     m_state->m_events.write(
         "drained",
         {{"connections", m_sessions.size()},
@@ -235,18 +221,37 @@
     on_stopped();
 }
 
-void edge_server::stop_now()
+/// Returns when all sessions have ended, or at `end`.
+asio::awaitable<void> edge_server::wait_for_sessions(time_point end)
+{
+    timer check_timer{m_io};
+    remove_ended_sessions();
+    while (!m_sessions.empty() && runtime_clock::now() < end)
+    {
+        check_timer.expires_at(
+            std::min(end, runtime_clock::now() + drain_check_interval));
+        co_await check_timer.async_wait(use_tuple);
+        remove_ended_sessions();
+    }
+}
+
+void edge_server::for_each_session(void (edge_session::*action)())
 {
-    m_gossip->stop();
-    error_code ignored;
-    m_acceptor.close(ignored);
     for (auto const& weak : m_sessions)
     {
         if (auto const session = weak.lock())
         {
-            session->abort();
+            (session.get()->*action)();
         }
     }
 }
 
+void edge_server::stop_now()
+{
+    m_gossip->stop();
+    error_code ignored;
+    m_acceptor.close(ignored);
+    for_each_session(&edge_session::abort);
+}
+
 } // namespace briarhub
--- a/src/edge_server.hpp
+++ b/src/edge_server.hpp
@@ -44,7 +44,8 @@
     void apply_settings(edge_settings const& settings);
 
     /// Reports not ready, drains the connections and calls `on_stopped` when
-    /// all are closed, or shortly before the grace period ends.
+    /// all are closed, or shortly before the grace period ends. Requests that
+    /// still run then are interrupted, and their callers get a response.
     void begin_shutdown(std::function<void()> on_stopped);
 
     /// True if the load balancer may send callers to this VM. Thread-safe.
@@ -65,6 +66,8 @@
     boost::asio::awaitable<void> accept_callers();
     boost::asio::awaitable<void>
     drain_connections(std::function<void()> on_stopped);
+    boost::asio::awaitable<void> wait_for_sessions(time_point end);
+    void for_each_session(void (edge_session::*action)());
     void add_session(boost::asio::ip::tcp::socket socket);
     void remove_ended_sessions();
     void update_readiness();
--- a/src/edge_session.cpp
+++ b/src/edge_session.cpp
@@ -134,6 +134,11 @@
     }
 }
 
+void edge_session::interrupt_request()
+{
+    m_caller.interrupt();
+}
+
 void edge_session::abort()
 {
     error_code ignored;
--- a/src/edge_session.hpp
+++ b/src/edge_session.hpp
@@ -34,6 +34,10 @@
     /// Closes the connection if it is waiting for a request.
     void close_if_idle();
 
+    /// Ends a request that is in progress. Its caller gets a response that says
+    /// whether the request may have run.
+    void interrupt_request();
+
     /// Closes the connection immediately.
     void abort();
 
--- a/src/edge_state.hpp
+++ b/src/edge_state.hpp
@@ -26,6 +26,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -110,6 +111,9 @@
     bool m_is_stopping = false;
     /// Connections are closed after their current response.
     bool m_closes_after_response = false;
+    /// Set once the load balancer has had time to remove the stopping VM:
+    /// requests that may run longer than this are refused.
+    std::optional<time_point> m_last_response_time;
 
 private:
     void remove_stale_routes(fleet_policy const& policy);
--- a/src/request.hpp
+++ b/src/request.hpp
@@ -22,8 +22,8 @@
 namespace briarhub
 {
 
-/// Tracks whether the caller is still connected. One handler can be set to run
-/// when it disconnects.
+/// Tracks whether the caller is still connected and whether the process ends
+/// its request early. One handler can be set to run when either happens.
 class disconnect_monitor
 {
 public:
@@ -32,35 +32,55 @@
         return m_is_disconnected;
     }
 
+    /// True if the request has to end now, with a response to the caller.
+    [[nodiscard]] bool is_interrupted() const
+    {
+        return m_is_interrupted;
+    }
+
     /// Records the disconnect and runs the handler, if any, once.
     void notify_disconnect()
     {
         m_is_disconnected = true;
-        if (m_on_disconnect)
-        {
-            std::exchange(m_on_disconnect, nullptr)();
-        }
+        run_handler();
     }
 
-    void set_handler(std::function<void()> on_disconnect)
+    /// Records the interruption and runs the handler, if any, once.
+    void interrupt()
     {
-        m_on_disconnect = std::move(on_disconnect);
+        m_is_interrupted = true;
+        run_handler();
+    }
+
+    void set_handler(std::function<void()> on_end)
+    {
+        m_on_end = std::move(on_end);
     }
 
 private:
+    void run_handler()
+    {
+        if (m_on_end)
+        {
+            std::exchange(m_on_end, nullptr)();
+        }
+    }
+
     bool m_is_disconnected = false;
-    std::function<void()> m_on_disconnect;
+    bool m_is_interrupted = false;
+    std::function<void()> m_on_end;
 };
 
-/// Sets a disconnect handler for the lifetime of this object.
+/// Sets a handler of disconnects and interruptions for the lifetime of this
+/// object.
 class scoped_disconnect_handler
 {
 public:
     scoped_disconnect_handler(
-        disconnect_monitor& caller, std::function<void()> on_disconnect)
+        disconnect_monitor& caller, std::function<void()> on_end)
         : m_caller(caller)
     {
-        m_caller.set_handler(std::move(on_disconnect));
+        m_caller.set_handler(std::move(on_end));
     }
 
     ~scoped_disconnect_handler()
