Heed what upstreams state about leaving and Retry-After

Upstreams that state in their responses that they are leaving, or that they want no requests for a while, got requests on. Cause: neither field was read.

One typed notice holds what an upstream states about itself, with the rate limit that was read before; it is parsed in one place, and invalid values are counted, logged and ignored. Both name the process of the upstream, and are kept while its entry is missing. Weighed and ruled out: telling Retry-After to the peers (one full moment would close an upstream to the whole fleet), and waiting for the store's entry (some never change).

--- a/src/edge_attempts.cpp
+++ b/src/edge_attempts.cpp
@@ -1,7 +1,7 @@
 #include "edge_attempts.hpp"
 
 #include "http_fields.hpp"
-#include "upstream_rate_limit.hpp"
+#include "upstream_notice.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -42,15 +42,6 @@
 /// request. The limit is a few round trips between failure domains.
 constexpr std::chrono::milliseconds stale_reset_limit{20};
 
-/// Range of the Retry-After sent to callers when no upstream was available. It
-/// is randomized so that they do not retry at the same time.
-constexpr std::chrono::milliseconds min_retry_after_wait{150};
-constexpr std::chrono::milliseconds max_retry_after_wait{450};
-
-/// Limit of the wait for upstreams at their rate limits in Retry-After: their
-/// limits may end earlier.
-constexpr std::chrono::milliseconds max_rate_limit_wait{2000};
-
 /// Effect of a finished attempt on the request.
 enum class exchange_outcome
 {
@@ -361,7 +352,7 @@
             result.m_head.result() == http::status::misdirected_request;
         if (!is_misdirected)
         {
-            record_rate_limit(tag, result.m_head);
+            record_notice(tag, result.m_head);
         }
         if (is_misdirected || result.m_head.count(names.m_not_executed) > 0)
         {
@@ -394,35 +385,32 @@
         return exchange_outcome::served;
     }
 
-    /// A limit holds until a successful response no longer states it; a failing
-    /// upstream may leave it out.
-    void
-    record_rate_limit(upstream_tag tag, http::response_header<> const& head)
+    /// Applies what the upstream states about itself, so that the next
+    /// selection heeds it.
+    void record_notice(upstream_tag tag, http::response_header<> const& head)
     {
-        auto const& name = m_state.m_header_names.m_rate_limit;
-        auto const fields = head.count(name);
-        rate_limit_notice notice;
-        if (fields > 0)
-        {
-            notice.m_requests_per_second =
-                fields == 1 ? parse_rate_limit(to_view(head[name]))
-                            : std::nullopt;
-            if (!notice.m_requests_per_second)
-            {
-                m_state.record_invalid_rate_limit(
-                    m_attempted_upstreams.back(), to_view(head[name]));
-                return;
-            }
+        auto const now = runtime_clock::now();
+        auto const& upstream = m_attempted_upstreams.back();
+        auto const parsed = parse_upstream_notice(m_state.m_header_names, head);
+        for (auto const& field : parsed.m_invalid_fields)
+        {
+            m_state.record_invalid_notice(upstream, field);
         }
-        else if (head.result_int() >= 300)
+        auto const& notice = parsed.m_notice;
+        auto& load_balancer = m_state.m_load_balancer;
+        if (notice.m_is_leaving && load_balancer.mark_leaving(tag))
         {
-            return;
+            m_state.record_leaving(upstream);
+        }
+        if (notice.m_retry_after &&
+            load_balancer.close_for(now, tag, *notice.m_retry_after))
+        {
+            m_state.record_closed(upstream, *notice.m_retry_after);
         }
-        bool const is_changed = m_state.m_load_balancer.set_rate_limit(
-            runtime_clock::now(), tag, notice);
-        if (is_changed)
+        if (notice.m_rate_limit &&
+            load_balancer.set_rate_limit(now, tag, *notice.m_rate_limit))
         {
-            m_state.record_rate_limit(m_attempted_upstreams.back(), notice);
+            m_state.record_rate_limit(upstream, *notice.m_rate_limit);
         }
     }
 
@@ -579,15 +567,13 @@
             std::nullopt};
     }
 
-    /// Time after which an upstream may accept the request, and a random part.
     duration retry_after()
     {
-        std::uniform_int_distribution<std::int64_t> distribution{
-            min_retry_after_wait.count(), max_retry_after_wait.count()};
-        std::chrono::milliseconds const random{distribution(m_state.m_random)};
-        auto const wait = m_state.m_load_balancer.rate_limit_wait(
-            runtime_clock::now(), m_request.m_service);
-        return random + std::min<duration>(wait, max_rate_limit_wait);
+        auto const now = runtime_clock::now();
+        auto const wait =
+            m_state.m_load_balancer.availability_wait(now, m_request.m_service);
+        return m_state.m_returns[m_request.m_service].next(
+            now, wait, m_request.m_priority, m_state.m_random);
     }
 
     edge_reply forward_response(exchange_result&& result)
--- a/src/edge_state.cpp
+++ b/src/edge_state.cpp
@@ -80,14 +80,25 @@
     m_retries.set_bounds(settings.m_retries);
 }
 
-/// Drops the response sizes of routes that the policy no longer has.
+/// Drops the state of routes and services that the policy no longer has.
 void edge_state::remove_stale_routes(fleet_policy const& policy)
 {
     std::set<std::string_view> names;
+    std::set<std::string_view> services;
     for (auto const& route : policy.m_routes)
     {
         names.insert(route.m_name);
+        for (auto const& part : route.m_weighted_services)
+        {
+            services.insert(part.m_service);
+        }
     }
+    std::erase_if(
+        m_returns,
+        [&](auto const& schedule)
+        {
+            return !services.contains(schedule.first);
+        });
     std::erase_if(
         m_response_bytes,
         [&](auto const& size_entry)
@@ -151,14 +162,37 @@
     m_events.write("upstream_limit", fields);
 }
 
-void edge_state::record_invalid_rate_limit(
-    upstream_id const& upstream, std::string_view value)
+void edge_state::record_leaving(upstream_id const& upstream)
+{
+    m_metrics.get_counter("briarhub_upstream_leaving_notices_total").add();
+    m_events.write("upstream_leaving", {{"upstream", upstream}});
+}
+
+void edge_state::record_closed(
+    upstream_id const& upstream, duration retry_after)
+{
+    m_metrics.get_counter("briarhub_upstream_retry_after_notices_total").add();
+    m_events.write(
+        "upstream_closed",
+        {{"upstream", upstream},
+         {"for_ms",
+          std::chrono::floor<std::chrono::milliseconds>(retry_after).count()}});
+}
+
+void edge_state::record_invalid_notice(
+    upstream_id const& upstream, invalid_notice_field const& field)
 {
     constexpr std::size_t max_logged_bytes = 40;
-    m_metrics.get_counter("briarhub_upstream_limits_rejected_total").add();
+    m_metrics
+        .get_counter(
+            "briarhub_upstream_notices_rejected_total",
+            {{"field", field.m_name}})
+        .add();
     m_events.write(
-        "upstream_limit_rejected",
-        {{"upstream", upstream}, {"value", value.substr(0, max_logged_bytes)}});
+        "upstream_notice_rejected",
+        {{"upstream", upstream},
+         {"field", field.m_name},
+         {"value", field.m_value.substr(0, max_logged_bytes)}});
 }
 
 } // namespace briarhub
--- a/src/edge_state.hpp
+++ b/src/edge_state.hpp
@@ -16,8 +16,10 @@
 #include "replica_freshness.hpp"
 #include "request.hpp"
 #include "retry_budget.hpp"
+#include "return_schedule.hpp"
 #include "suspect_requests.hpp"
 #include "upstream_exchange.hpp"
+#include "upstream_notice.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -82,9 +84,15 @@
     void record_rate_limit(
         upstream_id const& upstream, rate_limit_notice const& notice);
 
-    /// Logs and counts a rate limit that cannot be parsed.
-    void record_invalid_rate_limit(
-        upstream_id const& upstream, std::string_view value);
+    /// Logs that an upstream states that it is leaving.
+    void record_leaving(upstream_id const& upstream);
+
+    /// Logs that an upstream wants no requests of this VM for a while.
+    void record_closed(upstream_id const& upstream, duration retry_after);
+
+    /// Logs and counts an invalid value that an upstream stated about itself.
+    void record_invalid_notice(
+        upstream_id const& upstream, invalid_notice_field const& field);
 
     boost::asio::io_context& m_io;
     edge_settings m_settings;
@@ -96,6 +104,7 @@
     fleet_rate_limiter m_rate_limiter;
     retry_budget m_retries;
     suspect_requests m_suspects;
+    std::map<service_name, return_schedule> m_returns; ///< of refused callers
     replicas_freshness m_freshness;
     connection_pool m_pool;
     upstream_exchange m_exchanges;
--- a/src/gossip_message.cpp
+++ b/src/gossip_message.cpp
@@ -63,6 +63,7 @@
     {
         added.set_rate_limit_milli(encode_rate_limit(*from.m_rate_limit));
     }
+    added.set_is_leaving(from.m_is_leaving);
     bool const has_counts = std::ranges::any_of(
         from.m_observations,
         [](std::uint32_t count)
@@ -86,6 +87,7 @@
     {
         update.m_rate_limit = decode_rate_limit(from.rate_limit_milli());
     }
+    update.m_is_leaving = from.is_leaving();
     if (from.signs_size() > static_cast<int>(observation_kinds))
     {
         return std::nullopt;
@@ -110,12 +112,15 @@
     to.set_upstream(from.m_upstream);
     to.set_sickness_permille(
         static_cast<std::uint32_t>(from.m_failure_probability * permille));
+    to.set_is_leaving(from.m_is_leaving);
 }
 
 upstream_estimate read(wire::UpstreamBelief const& from)
 {
     return {
-        from.upstream(), std::min(from.sickness_permille() / permille, 1.0)};
+        from.upstream(),
+        std::min(from.sickness_permille() / permille, 1.0),
+        from.is_leaving()};
 }
 
 void write(wire::SuspectNews& to, suspect_request const& from)
--- a/src/gossip_service.cpp
+++ b/src/gossip_service.cpp
@@ -413,6 +413,9 @@
         m_state->m_metrics.get_gauge("briarhub_upstreams_limited")
             .set(static_cast<double>(
                 m_state->m_load_balancer.rate_limited_upstreams()));
+        m_state->m_metrics.get_gauge("briarhub_upstreams_closed")
+            .set(static_cast<double>(
+                m_state->m_load_balancer.closed_upstreams(now)));
         save_health_snapshot(now);
         auto message = make_message();
         message.m_upstreams = m_state->m_load_balancer.collect_updates(true);
--- a/src/header_names.hpp
+++ b/src/header_names.hpp
@@ -19,6 +19,7 @@
     std::string m_response_seal;      ///< marks a response made by the upstream
     std::string m_not_executed; ///< the upstream did not execute the request
     std::string m_rate_limit;   ///< requests/s that the upstream accepts
+    std::string m_leaving;      ///< the upstream is shutting down
 };
 
 } // namespace briarhub
--- a/src/load_balancer.cpp
+++ b/src/load_balancer.cpp
@@ -57,6 +57,17 @@
 /// Upper bound on the slow limit as a share of the latency target.
 constexpr double slow_share_of_target = 0.8;
 
+/// States of upstreams whose entries are missing are kept for this long:
+/// entries expire while the store is unavailable, and come back with the same
+/// process.
+constexpr std::chrono::minutes unlisted_retention{10};
+constexpr std::size_t max_unlisted_upstreams = 4096;
+
+/// Requests to an upstream that was closed resume later by a random time, up to
+/// this share of the closed period and up to this limit.
+constexpr double reopen_spread = 0.25;
+constexpr std::chrono::milliseconds max_reopen_spread{1000};
+
 double requests_per_slot_limit(unsigned priority)
 {
     return std::max(
@@ -89,44 +100,108 @@
 void load_balancer::set_upstreams(
     time_point now, std::span<upstream_entry const> entries)
 {
-    std::map<upstream_tag, upstream_state> slots;
+    auto previous = std::exchange(m_slots, {});
     m_by_service.clear();
     for (auto const& entry : entries)
     {
         auto const tag = tag_of(entry);
-        auto const existing = m_slots.find(tag);
-        if (existing == m_slots.end())
+        if (auto listed = previous.extract(tag))
         {
-            upstream_state added{
-                entry,
-                failure_estimator{upstream_transition_rates, now},
-                failure_estimator{path_transition_rates, now},
-                0,
-                {},
-                now,
-                time_point{},
-                now + entry.m_warm_up_remaining,
-                upstream_rate_limiter{draw_extra_tokens()},
-                false,
-                false};
-            if (auto const imported = m_imported.find(tag);
-                imported != m_imported.end())
-            {
-                added.m_upstream = failure_estimator{
-                    upstream_transition_rates,
-                    imported->second.m_as_of,
-                    imported->second.m_failure_probability};
-            }
-            slots.emplace(tag, std::move(added));
+            m_slots.insert(std::move(listed));
+        }
+        else if (auto unlisted = m_unlisted.extract(tag))
+        {
+            m_slots.emplace(tag, std::move(unlisted.mapped().m_state));
         }
         else
         {
-            existing->second.m_entry = entry;
-            slots.emplace(tag, std::move(existing->second));
+            m_slots.emplace(tag, make_state(now, tag, entry));
         }
+        m_slots.at(tag).m_entry = entry;
         m_by_service[entry.m_upstream.m_service].push_back(tag);
     }
-    m_slots = std::move(slots);
+    retain_unlisted(now, std::move(previous));
+    std::erase_if(
+        m_imported,
+        [now](auto const& item)
+        {
+            return now - item.second.m_as_of > unlisted_retention;
+        });
+}
+
+load_balancer::upstream_state load_balancer::make_state(
+    time_point now, upstream_tag tag, upstream_entry const& entry)
+{
+    upstream_state added{
+        entry,
+        failure_estimator{upstream_transition_rates, now},
+        failure_estimator{path_transition_rates, now},
+        0,
+        {},
+        now,
+        time_point{},
+        now + entry.m_warm_up_remaining,
+        time_point{},
+        upstream_rate_limiter{draw_share()},
+        false,
+        false,
+        false};
+    auto const found = m_imported.find(tag);
+    if (found == m_imported.end())
+    {
+        return added;
+    }
+    auto const& imported = found->second;
+    if (imported.m_failure_probability)
+    {
+        added.m_upstream = failure_estimator{
+            upstream_transition_rates,
+            imported.m_as_of,
+            *imported.m_failure_probability};
+    }
+    if (imported.m_is_leaving)
+    {
+        set_leaving(added);
+    }
+    return added;
+}
+
+/// Keeps the states of upstreams whose entries are gone, the latest ones first.
+void load_balancer::retain_unlisted(
+    time_point now, std::map<upstream_tag, upstream_state>&& removed)
+{
+    std::erase_if(
+        m_unlisted,
+        [now](auto const& item)
+        {
+            return now - item.second.m_removed > unlisted_retention;
+        });
+    for (auto& [tag, state] : removed)
+    {
+        if (m_unlisted.size() >= max_unlisted_upstreams)
+        {
+            m_unlisted.erase(std::ranges::min_element(
+                m_unlisted,
+                {},
+                [](auto const& item)
+                {
+                    return item.second.m_removed;
+                }));
+        }
+        m_unlisted.insert_or_assign(
+            tag, unlisted_upstream{std::move(state), now});
+    }
+}
+
+load_balancer::upstream_state* load_balancer::find_state(upstream_tag target)
+{
+    auto const listed = m_slots.find(target);
+    if (listed != m_slots.end())
+    {
+        return &listed->second;
+    }
+    auto const unlisted = m_unlisted.find(target);
+    return unlisted == m_unlisted.end() ? nullptr : &unlisted->second.m_state;
 }
 
 std::optional<upstream_entry>
@@ -143,7 +218,7 @@
     {
         auto const& candidate = m_slots.at(tag);
         bool const excluded =
-            candidate.m_is_draining ||
+            candidate.m_is_draining || now < candidate.m_closed_until ||
             candidate.m_rate_limiter.wait(now) > duration::zero() ||
             std::ranges::find(
                 request.m_excluded, candidate.m_entry.m_upstream.m_id) !=
@@ -269,22 +344,20 @@
 
 void load_balancer::attempt_started(time_point now, upstream_tag target)
 {
-    auto const found = m_slots.find(target);
-    if (found != m_slots.end())
+    if (auto* const entry = find_state(target))
     {
-        ++found->second.m_own_in_flight;
-        found->second.m_rate_limiter.record_own_request(
-            now, draw_extra_tokens());
+        ++entry->m_own_in_flight;
+        entry->m_rate_limiter.record_own_request(now, draw_share());
         ++pending_update(target).m_started;
     }
 }
 
 void load_balancer::attempt_ended(upstream_tag target)
 {
-    auto const found = m_slots.find(target);
-    if (found != m_slots.end() && found->second.m_own_in_flight > 0)
+    auto* const entry = find_state(target);
+    if (entry != nullptr && entry->m_own_in_flight > 0)
     {
-        --found->second.m_own_in_flight;
+        --entry->m_own_in_flight;
         pending_update(target);
     }
 }
@@ -292,20 +365,20 @@
 void load_balancer::observe(
     time_point now, upstream_tag target, observation observed)
 {
-    auto const found = m_slots.find(target);
-    if (found == m_slots.end())
+    auto* const entry = find_state(target);
+    if (entry == nullptr)
     {
         return;
     }
     if (concerns_path(observed))
     {
-        found->second.m_path.observe(now, observed);
+        entry->m_path.observe(now, observed);
     }
     if (observed != observation::no_response)
     {
-        found->second.m_upstream.observe(now, observed);
+        entry->m_upstream.observe(now, observed);
     }
-    record_observation(now, found->second, observed);
+    record_observation(now, *entry, observed);
     ++pending_update(target).m_observations[static_cast<std::size_t>(observed)];
 }
 
@@ -369,7 +442,7 @@
         std::min(seconds(typical), seconds(latest)));
 }
 
-double load_balancer::draw_extra_tokens()
+double load_balancer::draw_share()
 {
     return std::uniform_real_distribution<>{0.0, 1.0}(m_random);
 }
@@ -377,13 +450,13 @@
 bool load_balancer::set_rate_limit(
     time_point now, upstream_tag target, rate_limit_notice const& notice)
 {
-    auto const found = m_slots.find(target);
-    if (found == m_slots.end())
+    auto* const entry = find_state(target);
+    if (entry == nullptr)
     {
         return false;
     }
     bool const is_changed =
-        found->second.m_rate_limiter.set(now, notice, m_reachable_share);
+        entry->m_rate_limiter.set(now, notice, m_reachable_share);
     if (is_changed || notice.m_requests_per_second)
     {
         pending_update(target).m_rate_limit = notice;
@@ -401,22 +474,34 @@
     {
         entry.m_rate_limiter.set_share(now, share);
     }
+    for (auto& [tag, unlisted] : m_unlisted)
+    {
+        unlisted.m_state.m_rate_limiter.set_share(now, share);
+    }
 }
 
-duration load_balancer::rate_limit_wait(
+duration load_balancer::availability_wait(
     time_point now, service_name const& service) const
 {
     auto const found = m_by_service.find(service);
-    if (found == m_by_service.end() || found->second.empty())
+    if (found == m_by_service.end())
     {
         return duration::zero();
     }
-    auto shortest = duration::max();
+    std::optional<duration> shortest;
     for (auto const tag : found->second)
     {
-        shortest = std::min(shortest, m_slots.at(tag).m_rate_limiter.wait(now));
+        auto const& entry = m_slots.at(tag);
+        if (entry.m_is_draining)
+        {
+            continue;
+        }
+        auto const closed =
+            std::max(entry.m_closed_until - now, duration::zero());
+        auto const wait = std::max(closed, entry.m_rate_limiter.wait(now));
+        shortest = std::min(wait, shortest.value_or(wait));
     }
-    return shortest;
+    return shortest.value_or(duration::zero());
 }
 
 std::size_t load_balancer::rate_limited_upstreams() const
@@ -432,13 +517,59 @@
 
 void load_balancer::mark_draining(upstream_tag target)
 {
-    auto const found = m_slots.find(target);
-    if (found != m_slots.end())
+    if (auto* const entry = find_state(target))
     {
-        found->second.m_is_draining = true;
+        entry->m_is_draining = true;
     }
 }
 
+void load_balancer::set_leaving(upstream_state& entry)
+{
+    entry.m_is_draining = true;
+    entry.m_is_leaving = true;
+}
+
+bool load_balancer::mark_leaving(upstream_tag target)
+{
+    auto* const entry = find_state(target);
+    if (entry == nullptr || entry->m_is_leaving)
+    {
+        return false;
+    }
+    set_leaving(*entry);
+    pending_update(target).m_is_leaving = true;
+    return true;
+}
+
+bool load_balancer::close_for(
+    time_point now, upstream_tag target, duration retry_after)
+{
+    auto* const entry = find_state(target);
+    if (entry == nullptr || retry_after <= duration::zero())
+    {
+        return false;
+    }
+    seconds const spread = std::min(
+        reopen_spread * seconds(retry_after), seconds(max_reopen_spread));
+    seconds const delay = spread * draw_share();
+    auto const end =
+        now + retry_after + std::chrono::duration_cast<duration>(delay);
+    bool const was_open = entry->m_closed_until <= now;
+    entry->m_closed_until = std::max(entry->m_closed_until, end);
+    return was_open;
+}
+
+std::size_t load_balancer::closed_upstreams(time_point now) const
+{
+    auto const count = std::ranges::count_if(
+        m_slots,
+        [now](auto const& item)
+        {
+            return now < item.second.m_closed_until;
+        });
+    return static_cast<std::size_t>(count);
+}
+
 void load_balancer::receive(
     time_point now,
     vm_tag from,
@@ -447,12 +578,22 @@
 {
     for (auto const& item : update)
     {
-        auto const found = m_slots.find(item.m_upstream);
-        if (found == m_slots.end())
+        auto* const state = find_state(item.m_upstream);
+        if (state == nullptr)
         {
+            // The peer has the entry of a new upstream earlier than this VM.
+            if (item.m_is_leaving)
+            {
+                m_imported[item.m_upstream].m_as_of = now;
+                m_imported[item.m_upstream].m_is_leaving = true;
+            }
             continue;
         }
-        auto& entry = found->second;
+        auto& entry = *state;
+        if (item.m_is_leaving)
+        {
+            set_leaving(entry);
+        }
         auto& load = entry.m_peers[from];
         if (sequence >= load.m_sequence)
         {
@@ -480,9 +621,10 @@
     std::vector<upstream_estimate> list;
     for (auto const& [tag, entry] : m_slots)
     {
-        if (entry.m_has_observations)
+        if (entry.m_has_observations || entry.m_is_leaving)
         {
-            list.push_back({tag, entry.m_upstream.probability(now)});
+            list.push_back(
+                {tag, entry.m_upstream.probability(now), entry.m_is_leaving});
         }
     }
     return list;
@@ -494,11 +636,19 @@
     for (auto const& estimate : estimates)
     {
         m_imported[estimate.m_upstream] = {
-            as_of, estimate.m_failure_probability};
-        auto const found = m_slots.find(estimate.m_upstream);
-        if (found != m_slots.end() && !found->second.m_has_observations)
+            as_of, estimate.m_failure_probability, estimate.m_is_leaving};
+        auto* const entry = find_state(estimate.m_upstream);
+        if (entry == nullptr)
+        {
+            continue;
+        }
+        if (estimate.m_is_leaving)
+        {
+            set_leaving(*entry);
+        }
+        if (!entry->m_has_observations)
         {
-            found->second.m_upstream = failure_estimator{
+            entry->m_upstream = failure_estimator{
                 upstream_transition_rates,
                 as_of,
                 estimate.m_failure_probability};
@@ -521,10 +671,9 @@
     std::vector<upstream_update> updates;
     for (auto& [tag, update] : m_unsent)
     {
-        auto const found = m_slots.find(tag);
-        if (found != m_slots.end())
+        if (auto const* const entry = find_state(tag))
         {
-            update.m_in_flight = found->second.m_own_in_flight;
+            update.m_in_flight = entry->m_own_in_flight;
             updates.push_back(update);
         }
     }
--- a/src/load_balancer.hpp
+++ b/src/load_balancer.hpp
@@ -38,6 +38,7 @@
     std::uint32_t m_started = 0;   ///< attempts of the VM
     /// From the VM's last response that states a limit or shows its end.
     std::optional<rate_limit_notice> m_rate_limit;
+    bool m_is_leaving = false; ///< stated in a response to the VM
     /// Counts indexed by `observation`.
     std::array<std::uint32_t, observation_kinds> m_observations{};
 
@@ -45,11 +46,13 @@
     operator==(upstream_update const&, upstream_update const&) = default;
 };
 
-/// One VM's estimate of the probability that an upstream is failing.
+/// One VM's estimate of the probability that an upstream is failing, and
+/// whether it knows it to be leaving.
 struct upstream_estimate
 {
     upstream_tag m_upstream = 0;
     double m_failure_probability = 0.0;
+    bool m_is_leaving = false;
 
     friend bool
     operator==(upstream_estimate const&, upstream_estimate const&) = default;
@@ -82,12 +85,12 @@
     }
 
     /// Replaces the endpoint set. An upstream process that was already in the
-    /// set keeps its state.
+    /// set keeps its state, also if its entry was missing for a while.
     void set_upstreams(time_point now, std::span<upstream_entry const> entries);
 
     /// The upstream with the lowest cost by failure probability, load and
-    /// failure domain. Nullopt if each one is excluded, draining, full or at
-    /// its rate limit.
+    /// failure domain. Nullopt if each one is excluded, draining, closed, full
+    /// or at its rate limit.
     std::optional<upstream_entry>
     select_upstream(time_point now, selection_context const& request);
 
@@ -121,10 +124,10 @@
     /// use.
     void set_reachable_share(time_point now, double share);
 
-    /// Time until the rate limits of the service's upstreams allow a request;
-    /// zero if one of them has no limit or allows a request now.
+    /// Time until an upstream of the service is open and within its rate limit;
+    /// zero if one is, or if all are draining.
     [[nodiscard]] duration
-    rate_limit_wait(time_point now, service_name const& service) const;
+    availability_wait(time_point now, service_name const& service) const;
 
     /// Number of upstreams that state a rate limit.
     [[nodiscard]] std::size_t rate_limited_upstreams() const;
@@ -132,6 +135,18 @@
     /// The upstream is shutting down and gets no new requests.
     void mark_draining(upstream_tag target);
 
+    /// The same, because the upstream states it; tells the peers. True if it
+    /// was not known.
+    bool mark_leaving(upstream_tag target);
+
+    /// The upstream wants no requests of this VM for `retry_after`. They resume
+    /// up to a quarter later, at random, so that the VMs do not return at the
+    /// same time. True if the upstream was open.
+    bool close_for(time_point now, upstream_tag target, duration retry_after);
+
+    /// Number of upstreams that are closed to this VM.
+    [[nodiscard]] std::size_t closed_upstreams(time_point now) const;
+
     /// Applies a peer's update. `sequence` orders its in-flight counts.
     void receive(
         time_point now,
@@ -144,7 +159,7 @@
     estimates(time_point now) const;
 
     /// Imports earlier or remote estimates for upstreams without observations
-    /// here, including upstreams that join the endpoint set later.
+    /// here, including upstreams that join the endpoint set soon.
     void adopt(time_point as_of, std::span<upstream_estimate const> estimates);
 
     /// Updates since the last call, and all in-flight counts if `all` is set.
@@ -185,15 +200,26 @@
         time_point m_last_observation{};
         time_point m_reset_on_reuse_at{}; ///< last reset of a reused connection
         time_point m_warm_up_end{};
+        time_point m_closed_until{}; ///< the upstream wants no requests before
         upstream_rate_limiter m_rate_limiter;
         bool m_has_observations = false;
         bool m_is_draining = false;
+        bool m_is_leaving = false; ///< draining by its own statement
     };
 
+    /// Knowledge of peers about an upstream that may not be in the set yet.
     struct imported_estimate
     {
         time_point m_as_of{};
-        double m_failure_probability = 0.0;
+        std::optional<double> m_failure_probability;
+        bool m_is_leaving = false;
+    };
+
+    /// State of an upstream whose entry is missing.
+    struct unlisted_upstream
+    {
+        upstream_state m_state;
+        time_point m_removed{};
     };
 
     [[nodiscard]] double cost(
@@ -212,14 +238,22 @@
     typical_duration(service_name const& service) const;
     static void record_observation(
         time_point now, upstream_state& entry, observation observed);
+    [[nodiscard]] upstream_state* find_state(upstream_tag target);
+    [[nodiscard]] upstream_state
+    make_state(time_point now, upstream_tag tag, upstream_entry const& entry);
+    void retain_unlisted(
+        time_point now, std::map<upstream_tag, upstream_state>&& removed);
+    static void set_leaving(upstream_state& entry);
     upstream_update& pending_update(upstream_tag target);
-    [[nodiscard]] double draw_extra_tokens();
+    /// Uniform in [0, 1).
+    [[nodiscard]] double draw_share();
 
     failure_domain m_own_domain;
     double m_reachable_share = 1.0;
     std::mt19937_64 m_random;
     idle_connection_check m_has_idle_connection;
     std::map<upstream_tag, upstream_state> m_slots; ///< the endpoint set
+    std::map<upstream_tag, unlisted_upstream> m_unlisted;
     std::unordered_map<upstream_tag, imported_estimate> m_imported;
     std::map<service_name, std::vector<upstream_tag>> m_by_service;
     std::unordered_map<upstream_tag, upstream_update> m_unsent;
--- a/tests/edge/soak.py
+++ b/tests/edge/soak.py
@@ -47,6 +47,7 @@
         self.withdrawal_times = {}  # key -> time of its withdrawal
         self.drain_start_times = {}  # upstream name -> time
         self.fault_end_times = {}  # VM name -> end of its last fault
+        self.faults = {}  # VM name -> [(start, end)]
         self.keys = ["key-a"]
         self.next_key = 0
         self.fleet = Fleet(
@@ -59,12 +60,16 @@
 
     def mark_faulty(self, vm, for_s=0.0):
         end = time.time() + for_s
+        self.faults.setdefault(vm.name, []).append((time.time(), end))
         self.fault_end_times[vm.name] = max(self.fault_end_times.get(vm.name, 0), end)
 
     def has_recovered(self, vm, sent, until=None):
         end = self.fault_end_times.get(vm.name, 0)
         return end + RECOVERY_S < sent or end == 0
 
+    def had_fault(self, vm, start, end):
+        return any(first < end and last > start for first, last in self.faults.get(vm.name, []))
+
     async def configure(self):
         resources = [r for r in default_resources() if r["resource_kind"] != "tenants"]
         resources += [account("acme", list(self.keys)), account("zeta", ["key-z"], RATE, RATE)]
@@ -152,25 +157,36 @@
         upstream = self.random.choice(self.fleet.upstreams[:-1])
         kind = self.random.choice(
             ["error", "reset", "truncate", "extra", "hang", "shed", "drain", "slow",
-             "forget"]
+             "forget", "leave", "close", "limit"]
         )
         if kind == "drain":
             upstream.state = "draining"
             await upstream.register()
             self.drain_start_times[upstream.name] = time.time()
             return
+        if kind == "leave":
+            upstream.is_leaving = True
+            return
         share = self.random.uniform(0.1, 1)
         if kind == "slow":
             upstream.service_time_s = 0.15
         elif kind == "forget":
             for each in self.fleet.upstreams:
                 each.idle_reset_after_s = 0.05
+        elif kind == "limit":
+            upstream.rate_limit = str(self.random.uniform(0.5, 10))
+        elif kind == "close":
+            upstream.retry_after = f"{self.random.uniform(0.7, 3):.2f}"
+            upstream.fault = (
+                lambda headers: "shed" if self.random.random() < share else None
+            )
         else:
             upstream.fault = (
                 lambda headers: kind if self.random.random() < share else None
             )
         await asyncio.sleep(self.random.uniform(1, 4))
         upstream.fault, upstream.service_time_s = None, 0.01
+        upstream.retry_after = upstream.rate_limit = None
         if kind == "forget":
             for each in self.fleet.upstreams:
                 each.idle_reset_after_s = None
@@ -200,6 +216,42 @@
         self.check_answers(runs)
         self.check_runs(runs)
         self.check_rate(runs)
+        self.check_leaving(runs)
+        self.check_retry_after()
+
+    def check_leaving(self, runs):
+        """A VM that passed on a leaving notice sends the upstream no later requests."""
+        noticed = {}  # (VM, upstream) -> time of the first notice
+        for sent, _, request_id, _, vm, response in self.responses:
+            if "server-leaving" in response.headers and response.body.startswith(b"answer of "):
+                key = (vm.name, response.body.split()[2].decode())
+                noticed[key] = min(noticed.get(key, sent + response.elapsed_s),
+                                   sent + response.elapsed_s)
+        for sent, _, request_id, _, vm, _ in self.responses:
+            for run_time, upstream, _, _ in runs.get(request_id, []):
+                since = noticed.get((vm.name, upstream.name))
+                is_late = since is not None and sent > since + DRAIN_BOUND_S
+                if is_late and not self.had_fault(vm, since, run_time):
+                    self.violations.append(
+                        f"{request_id} reached {upstream.name}, which told {vm.name} that it "
+                        f"leaves {sent - since:.1f} s earlier")
+
+    def check_retry_after(self):
+        """At most two requests of a VM reach an upstream that told it to wait."""
+        vm_of = {item[2]: item[4] for item in self.responses}
+        for upstream in self.fleet.upstreams:
+            for rejected, request_id, wait in upstream.rejections:
+                vm = vm_of.get(request_id)
+                if wait is None or vm is None:
+                    continue
+                first, last = rejected + 0.5, rejected + float(wait)
+                late = [other for arrived, other in upstream.arrivals
+                        if first < arrived < last and vm_of.get(other) is vm]
+                if len(late) > 2 and not self.had_fault(vm, rejected, last):
+                    self.violations.append(
+                        f"{len(late)} requests of {vm.name} reached {upstream.name} within its "
+                        f"Retry-After of {wait} s")
+                    return
 
     def check_answers(self, runs):
         for sent, is_non_idempotent, request_id, key, vm, response in self.responses:
--- a/tests/edge/stand_ins.py
+++ b/tests/edge/stand_ins.py
@@ -293,6 +293,10 @@
         self.runs = []  # (time, request id, headers, body, request line)
         self.cancelled = []
         self.rate_limit = None  # value of the field that limits the fleet's requests/s
+        self.is_leaving = False  # True or a value: stated in every response
+        self.retry_after = None  # value of the field in rejections ("shed")
+        self.arrivals = []  # (time, request id) of all requests, including rejected ones
+        self.rejections = []  # (time, request id, Retry-After or None)
         self.fault = None  # callable(headers) -> name of a fault, or None
         self.last_refused_id = ""
         self.endless_bytes = 0  # sent by faults of ENDLESS_RESPONSES
@@ -332,6 +336,15 @@
         except ConnectionError:
             pass
 
+    def notice_headers(self):
+        """Fields that tell about the upstream itself, in every response."""
+        headers = {}
+        if self.rate_limit is not None:
+            headers["Server-Limit"] = self.rate_limit
+        if self.is_leaving:
+            headers["Server-Leaving"] = "1" if self.is_leaving is True else self.is_leaving
+        return headers
+
     def seal(self, request_id):
         return f"seal-{self.name}-{request_id}"
 
@@ -354,18 +367,19 @@
                     encode_response(421, {"Briarhub-Request-Id": request_id})
                 )
                 continue
+            self.arrivals.append((time.time(), request_id))
             fault = self.fault(headers) if self.fault else None
             if fault == "shed":
                 self.last_refused_id = request_id
-                writer.write(
-                    encode_response(
-                        503,
-                        {
-                            "Briarhub-Request-Id": request_id,
-                            "Briarhub-Not-Executed": "1",
-                        },
-                    )
-                )
+                self.rejections.append((time.time(), request_id, self.retry_after))
+                rejection_headers = {
+                    "Briarhub-Request-Id": request_id,
+                    "Briarhub-Not-Executed": "1",
+                    **self.notice_headers(),
+                }
+                if self.retry_after is not None:
+                    rejection_headers["Retry-After"] = self.retry_after
+                writer.write(encode_response(503, rejection_headers))
                 continue
             self.runs.append((time.time(), request_id, headers, body, line))
             if fault in ("repeated_refusal", "repeated_refusal_without_id"):
@@ -401,9 +415,8 @@
                 "Briarhub-Request-Id": request_id,
                 "Briarhub-Response-Seal": self.seal(request_id),
                 "Keep-Alive": "timeout=10",
+                **self.notice_headers(),
             }
-            if self.rate_limit is not None:
-                response_headers["Server-Limit"] = self.rate_limit
             text = f"answer of {self.name} to {request_id}".encode()
             if fault == "error":
                 writer.write(encode_response(500, response_headers, b"failed"))
--- a/tests/upstream_rate_limit_test.cpp
+++ b/tests/upstream_rate_limit_test.cpp
@@ -201,12 +201,12 @@
         make_entry("u0"), make_entry("u1")};
     balancer.set_upstreams(at(0ms), entries);
     balancer.set_rate_limit(at(0ms), tag_of(entries[0]), {0.5});
-    CHECK(balancer.rate_limit_wait(at(0ms), "desk") == duration{0});
+    CHECK(balancer.availability_wait(at(0ms), "desk") == duration{0});
     balancer.set_rate_limit(at(0ms), tag_of(entries[1]), {1.0});
-    auto const wait = balancer.rate_limit_wait(at(0ms), "desk");
+    auto const wait = balancer.availability_wait(at(0ms), "desk");
     CHECK(wait >= 1s);
     CHECK(wait <= 2s);
-    CHECK(balancer.rate_limit_wait(at(0ms), "other") == duration{0});
+    CHECK(balancer.availability_wait(at(0ms), "other") == duration{0});
     balancer.set_rate_limit(at(0ms), tag_of(entries[1]), {std::nullopt});
-    CHECK(balancer.rate_limit_wait(at(0ms), "desk") == duration{0});
+    CHECK(balancer.availability_wait(at(0ms), "desk") == duration{0});
 }
