--- a/tests/edge/soak.py
+++ b/tests/edge/soak.py
@@ -47,7 +47,7 @@
         self.withdrawal_times = {}  # key -> time of its withdrawal
         self.drain_start_times = {}  # upstream name -> time
         self.fault_end_times = {}  # VM name -> end of its last fault
-        self.faults = {}  # VM name -> [(start, end)]
+        self.process_faults = {}  # VM name -> [(start, end)] of kills, stops and pauses
         self.keys = ["key-a"]
         self.next_key = 0
         self.fleet = Fleet(
@@ -60,15 +60,15 @@
 
     def mark_faulty(self, vm, for_s=0.0):
         end = time.time() + for_s
-        self.faults.setdefault(vm.name, []).append((time.time(), end))
         self.fault_end_times[vm.name] = max(self.fault_end_times.get(vm.name, 0), end)
 
     def has_recovered(self, vm, sent, until=None):
         end = self.fault_end_times.get(vm.name, 0)
         return end + RECOVERY_S < sent or end == 0
 
-    def had_fault(self, vm, start, end):
-        return any(first < end and last > start for first, last in self.faults.get(vm.name, []))
+    def had_process_fault(self, vm, start, end):
+        faults = self.process_faults.get(vm.name, [])
+        return any(first < end and last > start for first, last in faults)
 
     async def configure(self):
         resources = [r for r in default_resources() if r["resource_kind"] != "tenants"]
@@ -109,7 +109,9 @@
         kind = self.random.choice(["kill", "term", "pause", "hup", "kill", "term"])
         if kind == "hup":
             vm.signal(signal.SIGHUP)
-        elif kind == "pause":
+            return
+        started = time.time()
+        if kind == "pause":
             duration_s = self.random.uniform(0.3, 3)
             self.mark_faulty(vm, duration_s)
             vm.signal(signal.SIGSTOP)
@@ -126,6 +128,7 @@
             if not self.is_finished and vm.process.poll() is not None:
                 vm.start()
             self.mark_faulty(vm, 1)
+        self.process_faults.setdefault(vm.name, []).append((started, time.time()))
 
     async def inject_store_fault(self):
         store, proxy = self.fleet.store, self.proxy
@@ -231,7 +234,7 @@
             for run_time, upstream, _, _ in runs.get(request_id, []):
                 since = noticed.get((vm.name, upstream.name))
                 is_late = since is not None and sent > since + DRAIN_BOUND_S
-                if is_late and not self.had_fault(vm, since, run_time):
+                if is_late and not self.had_process_fault(vm, since, run_time):
                     self.violations.append(
                         f"{request_id} reached {upstream.name}, which told {vm.name} that it "
                         f"leaves {sent - since:.1f} s earlier")
@@ -247,7 +250,7 @@
                 first, last = rejected + 0.5, rejected + float(wait)
                 late = [other for arrived, other in upstream.arrivals
                         if first < arrived < last and vm_of.get(other) is vm]
-                if len(late) > 2 and not self.had_fault(vm, rejected, last):
+                if len(late) > 2 and not self.had_process_fault(vm, rejected, last):
                     self.violations.append(
                         f"{len(late)} requests of {vm.name} reached {upstream.name} within its "
                         f"Retry-After of {wait} s")
