Test upstreams that may have recovered with a few non-idempotent requests

Cause: only idempotent requests explored, so nothing corrected the estimate.

3% of the first attempts of non-idempotent requests go to an idle upstream with an estimated risk of at most 0.4, those that waited longest first.

--- a/src/load_balancer.cpp
+++ b/src/load_balancer.cpp
@@ -32,6 +32,13 @@
 constexpr double warm_up_cost = 0.08;
 constexpr double jitter = 0.02;
 
+/// This share of the non-idempotent requests goes to upstreams that may have
+/// recovered: nothing else tests them if a service gets no idempotent requests.
+constexpr double trial_share = 0.03;
+constexpr double max_trial_risk = 0.4;
+constexpr std::chrono::milliseconds trial_interval{2000};
+constexpr double min_trial_weight = 0.5;
+
 /// An upstream above this failure probability gets one request at a time.
 constexpr double suspect_threshold = 0.3;
 
@@ -212,14 +219,22 @@
     {
         return std::nullopt;
     }
+    bool const is_first_attempt = request.m_excluded.empty();
+    if (!request.m_is_idempotent && is_first_attempt &&
+        draw_share() < trial_share)
+    {
+        if (auto const* trial = select_trial(now, service->second))
+        {
+            return trial->m_entry;
+        }
+    }
     upstream_state const* best = nullptr;
     double best_cost = std::numeric_limits<double>::infinity();
     for (auto const tag : service->second)
     {
         auto const& candidate = m_slots.at(tag);
         bool const excluded =
-            candidate.m_is_draining || now < candidate.m_closed_until ||
-            candidate.m_rate_limiter.wait(now) > duration::zero() ||
+            !is_open(now, candidate) ||
             std::ranges::find(
                 request.m_excluded, candidate.m_entry.m_upstream.m_id) !=
                 request.m_excluded.end();
@@ -241,6 +256,44 @@
     return best->m_entry;
 }
 
+bool load_balancer::is_open(time_point now, upstream_state const& entry)
+{
+    return !entry.m_is_draining && now >= entry.m_closed_until &&
+           entry.m_rate_limiter.wait(now) == duration::zero();
+}
+
+/// An upstream that may have recovered: healthy by its estimate, without
+/// requests and recent observations. Prefers those that have waited longest.
+/// The random part keeps VMs from choosing the same one before they know of
+/// each other's requests. Null if there is none.
+load_balancer::upstream_state const*
+load_balancer::select_trial(time_point now, std::span<upstream_tag const> tags)
+{
+    std::uniform_real_distribution<> weight{min_trial_weight, 1.0};
+    upstream_state const* chosen = nullptr;
+    seconds longest{0};
+    for (auto const tag : tags)
+    {
+        auto const& entry = m_slots.at(tag);
+        auto const age = now - entry.m_last_observation;
+        bool const is_candidate =
+            is_open(now, entry) && age >= trial_interval &&
+            failure_probability(now, entry) <= max_trial_risk &&
+            total_in_flight(now, entry) == 0;
+        if (!is_candidate)
+        {
+            continue;
+        }
+        auto const weighted_age = weight(m_random) * seconds(age);
+        if (weighted_age > longest)
+        {
+            longest = weighted_age;
+            chosen = &entry;
+        }
+    }
+    return chosen;
+}
+
 double load_balancer::cost(
     time_point now,
     upstream_state const& entry,
--- a/src/load_balancer.hpp
+++ b/src/load_balancer.hpp
@@ -89,7 +89,8 @@
     void set_upstreams(time_point now, std::span<upstream_entry const> entries);
 
     /// The upstream with the lowest cost by failure probability, load and
-    /// failure domain. Nullopt if each one is excluded, draining, closed, full
+    /// failure domain. A few non-idempotent requests test upstreams that may
+    /// have recovered instead. Nullopt if each one is excluded, draining, closed, full
     /// or at its rate limit.
     std::optional<upstream_entry>
     select_upstream(time_point now, selection_context const& request);
@@ -222,6 +223,10 @@
         time_point m_removed{};
     };
 
+    [[nodiscard]] static bool
+    is_open(time_point now, upstream_state const& entry);
+    [[nodiscard]] upstream_state const*
+    select_trial(time_point now, std::span<upstream_tag const> tags);
     [[nodiscard]] double cost(
         time_point now,
         upstream_state const& entry,
