--- a/src/load_balancer.cpp
+++ b/src/load_balancer.cpp
@@ -35,7 +35,7 @@
 /// This share of the non-idempotent requests goes to upstreams that may have
 /// recovered: nothing else tests them if a service gets no idempotent requests.
 constexpr double trial_share = 0.03;
-constexpr double max_trial_risk = 0.4;
+constexpr double max_trial_risk = 0.6;
 constexpr std::chrono::milliseconds trial_interval{2000};
 constexpr double min_trial_weight = 0.5;
 
