--- a/src/load_balancer.hpp
+++ b/src/load_balancer.hpp
@@ -90,8 +90,8 @@
 
     /// The upstream with the lowest cost by failure probability, load and
     /// failure domain. A few non-idempotent requests test upstreams that may
-    /// have recovered instead. Nullopt if each one is excluded, draining, closed, full
-    /// or at its rate limit.
+    /// have recovered instead. Nullopt if each one is excluded, draining,
+    /// closed, full or at its rate limit.
     std::optional<upstream_entry>
     select_upstream(time_point now, selection_context const& request);
 
