Do not test idle upstreams while the directory may be old

A VM that does not know of a drain tests the upstreams that its peers leave idle. Non-idempotent requests do so now only while the directory is younger than half of the bound.

--- a/src/edge_attempts.cpp
+++ b/src/edge_attempts.cpp
@@ -42,6 +42,10 @@
 /// request. The limit is a few round trips between failure domains.
 constexpr std::chrono::milliseconds stale_reset_limit{20};
 
+/// A VM whose directory is older than this share of the time within which it
+/// must know of a draining upstream does not test idle upstreams.
+constexpr double max_directory_age_share = 0.5;
+
 /// Effect of a finished attempt on the request.
 enum class exchange_outcome
 {
@@ -115,6 +119,11 @@
         choice.m_response_bytes =
             m_state.response_bytes(m_request.m_route->m_name);
         choice.m_excluded = m_attempted_upstreams;
+        auto const directory_age = m_state.m_freshness.m_directory.age(now);
+        choice.m_may_test_idle =
+            directory_age &&
+            *directory_age <= max_directory_age_share *
+                                  m_state.m_settings.m_upstream_update_limit;
         return m_state.m_load_balancer.select_upstream(now, choice);
     }
 
--- a/src/load_balancer.cpp
+++ b/src/load_balancer.cpp
@@ -221,7 +221,7 @@
     }
     bool const is_first_attempt = request.m_excluded.empty();
     if (!request.m_is_idempotent && is_first_attempt &&
-        draw_share() < trial_share)
+        request.m_may_test_idle && draw_share() < trial_share)
     {
         if (auto const* trial = select_trial(now, service->second))
         {
--- a/src/load_balancer.hpp
+++ b/src/load_balancer.hpp
@@ -68,6 +68,10 @@
     unsigned m_priority = 0;
     std::chrono::milliseconds m_latency_target{0};
     double m_response_bytes = 0.0; ///< typical size of a response on the route
+    /// A non-idempotent request may test an idle upstream. False while this VM
+    /// may not know yet which upstreams are draining: its peers leave those
+    /// idle.
+    bool m_may_test_idle = true;
     std::span<upstream_id const> m_excluded;
 };
 
--- a/tests/upstream_trial_test.cpp
+++ b/tests/upstream_trial_test.cpp
@@ -276,3 +276,31 @@
         CHECK(failed_share <= max_failed_share);
     }
 }
+
+TEST_CASE("a VM whose directory may be old does not test idle upstreams")
+{
+    // The peers leave a draining upstream idle, so of all upstreams it would be
+    // tested first by a VM that does not know of the drain.
+    load_balancer balancer{"z0", 1};
+    std::vector<upstream_entry> const entries{make_entry(0), make_entry(4)};
+    balancer.set_upstreams(at(0ms), entries);
+    selection_context request;
+    request.m_service = "desk";
+    request.m_is_idempotent = false;
+    request.m_latency_target = 1200ms;
+    auto const count_idle = [&](bool may_test_idle)
+    {
+        request.m_may_test_idle = may_test_idle;
+        std::size_t count = 0;
+        for (int i = 0; i < 1000; ++i)
+        {
+            balancer.observe(at(10s), tag_of(entries[0]), observation::served);
+            auto const chosen = balancer.select_upstream(at(10s), request);
+            REQUIRE(chosen);
+            count += chosen->m_upstream.m_id == "u4" ? 1 : 0;
+        }
+        return count;
+    };
+    CHECK(count_idle(false) == 0);
+    CHECK(count_idle(true) > 0);
+}
