--- a/tests/edge/edge_test.py
+++ b/tests/edge/edge_test.py
@@ -771,6 +771,11 @@
         for number in range(4):
             await vm.caller().request(f"l{number}", "/read/x")
         fleet.upstreams[1].rate_limit = None
+        fleet.upstreams[1].fault = lambda headers: "shed"
+        fleet.upstreams[1].retry_after = "0.2"
+        fleet.upstreams[1].is_leaving = True
+        for number in range(4):
+            await vm.caller().request(f"n{number}", "/read/x")
         await vm.caller().request("none", "/none/x")
         await fleet.store.put("keyed.servers", "forged", b"no entry")
         await fleet.store.put("keyed.op", "config", b"no configuration")
