--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -348,7 +348,7 @@
     record = Record(os.path.join(folder, "record.txt"))
     try:
         held = asyncio.run(asyncio.wait_for(main(record), limit_s))
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:  # anything unexpected is no verdict
         record.write(f"cannot run: {error!r}")
         record.close()
         leave(f"cannot run: {error!r}", 2)
