Log what of the directory a peer provided

The line upstreams_fetched has the peer, the offset that was known, the offset that was reached and whether the reply was the whole directory.

--- a/src/state_sync.cpp
+++ b/src/state_sync.cpp
@@ -668,10 +668,18 @@
         update.m_records.push_back(
             {record.key(), std::move(value), record.offset()});
     }
-    bool const is_first = m_directory.last_change() == 0;
-    if (update.m_last_change > m_directory.last_change())
+    auto const known = m_directory.last_change();
+    bool const is_first = known == 0;
+    if (update.m_last_change > known)
     {
         bool const is_changed = m_directory.adopt(runtime_clock::now(), update);
+        m_events.write(
+            "upstreams_fetched",
+            {{"peer", peer},
+             {"whole", update.m_is_snapshot},
+             {"records", update.m_records.size()},
+             {"known", known},
+             {"offset", m_directory.last_change()}});
         if (is_changed || is_first)
         {
             m_on_event(upstreams_event{m_directory.usable()});
