--- a/src/state_sync.cpp
+++ b/src/state_sync.cpp
@@ -414,8 +414,8 @@
                 record_store_success(now);
                 m_upstreams_offset = page->m_end;
                 m_directory_read_at = sent;
-                publish_upstreams(
-                    m_directory.apply_snapshot(now, page->m_records));
+                publish_upstreams(m_directory.apply_snapshot(
+                    now, page->m_records, page->m_end));
                 co_return true;
             }
         }
@@ -427,9 +427,10 @@
     record_store_success(now);
     auto const& page = std::get<store_page>(result);
     m_upstreams_offset = std::max(page.m_end, m_upstreams_offset.value_or(0));
-    bool is_changed = is_snapshot
-                          ? m_directory.apply_snapshot(now, page.m_records)
-                          : m_directory.apply(now, page.m_records);
+    bool is_changed =
+        is_snapshot
+            ? m_directory.apply_snapshot(now, page.m_records, page.m_end)
+            : m_directory.apply(now, page.m_records);
     is_changed = m_directory.remove_expired(now) || is_changed;
     if (page.m_reaches_log_end)
     {
--- a/src/upstream_directory.cpp
+++ b/src/upstream_directory.cpp
@@ -153,22 +153,25 @@
 
 bool upstream_directory::adopt(time_point now, change_set const& peer_changes)
 {
-    bool const is_changed = peer_changes.m_is_snapshot
-                                ? apply_snapshot(now, peer_changes.m_records)
-                                : apply(now, peer_changes.m_records);
+    bool const is_changed =
+        peer_changes.m_is_snapshot
+            ? apply_snapshot(
+                  now, peer_changes.m_records, peer_changes.m_last_change + 1)
+            : apply(now, peer_changes.m_records);
     advance_last_change(peer_changes.m_last_change);
     return is_changed;
 }
 
 bool upstream_directory::apply_snapshot(
-    time_point now, std::span<store_record const> records)
+    time_point now, std::span<store_record const> records, log_offset end)
 {
+    record_history_gap(m_last_change, end);
     std::set<std::string> listed_keys;
-    log_offset end = m_last_change;
+    log_offset removal_offset = m_last_change;
     for (auto const& record : records)
     {
         listed_keys.insert(record.m_key);
-        end = std::max(end, record.m_offset);
+        removal_offset = std::max(removal_offset, record.m_offset);
     }
     bool is_changed = apply(now, records);
     std::vector<std::string> missing_keys;
@@ -181,7 +184,8 @@
     }
     for (auto const& key : missing_keys)
     {
-        auto const offset = std::max(end, m_entries[key].m_offset + 1);
+        auto const offset =
+            std::max(removal_offset, m_entries[key].m_offset + 1);
         is_changed = remove(now, key, offset) || is_changed;
     }
     return is_changed;
@@ -192,6 +196,25 @@
     m_last_change = std::max(m_last_change, offset);
 }
 
+void upstream_directory::record_history_gap(log_offset begin, log_offset end)
+{
+    auto const last = end > 0 ? end - 1 : 0;
+    if (begin >= last)
+    {
+        return;
+    }
+    m_history_start = std::max(m_history_start, m_gap_end);
+    m_gap_begin = begin;
+    m_gap_end = last;
+}
+
+/// True if all changes after the offset are known.
+bool upstream_directory::has_history_since(log_offset offset) const
+{
+    bool const is_in_gap = m_gap_begin < offset && offset < m_gap_end;
+    return offset != 0 && offset >= m_history_start && !is_in_gap;
+}
+
 void upstream_directory::start_removal_grace(time_point now)
 {
     m_removal_grace_end = now + removal_grace_period;
@@ -248,7 +271,7 @@
 upstream_directory::changes_since(log_offset offset) const
 {
     change_set result;
-    result.m_is_snapshot = offset == 0 || offset < m_history_start;
+    result.m_is_snapshot = !has_history_since(offset);
     result.m_last_change = m_last_change;
     for (auto const& [key, entry] : m_entries)
     {
--- a/src/upstream_directory.hpp
+++ b/src/upstream_directory.hpp
@@ -44,9 +44,10 @@
     /// Applies the changes or the snapshot that a peer sent.
     bool adopt(time_point now, change_set const& peer_changes);
 
-    /// Applies a snapshot, which has the latest record of every key. Entries
-    /// whose keys it lacks are removed.
-    bool apply_snapshot(time_point now, std::span<store_record const> records);
+    /// Applies a snapshot, which has the latest record of every key before the
+    /// offset `end`. Entries whose keys it lacks are removed.
+    bool apply_snapshot(
+        time_point now, std::span<store_record const> records, log_offset end);
 
     /// Called when the store is reachable again after an outage. For the next
     /// `removal_grace_period`, removals of live upstreams are deferred, since
@@ -72,7 +73,8 @@
     }
 
     /// The records that changed after an offset. `m_is_snapshot` is set if the
-    /// change history does not go back that far; then all entries are included.
+    /// change history after that offset is not complete; then all entries are
+    /// included.
     struct change_set
     {
         bool m_is_snapshot = false;
@@ -96,13 +98,21 @@
     bool remove(time_point now, std::string const& key, log_offset offset);
     bool put(store_record const& record);
     void advance_last_change(log_offset offset);
+    void record_history_gap(log_offset begin, log_offset end);
+    [[nodiscard]] bool has_history_since(log_offset offset) const;
 
     decoder m_decode;
     reject_handler m_on_reject;
     std::map<std::string, directory_entry> m_entries;
     std::map<std::string, log_offset> m_tombstones;
     log_offset m_last_change = 0;
+    /// A peer whose last change is before this offset gets a snapshot.
     log_offset m_history_start = 0;
+    /// Offsets before and of the latest snapshot. Entries that were added and
+    /// removed between them are unknown here, but a peer whose last change lies
+    /// between them may know them.
+    log_offset m_gap_begin = 0;
+    log_offset m_gap_end = 0;
     time_point m_removal_grace_end{};
 };
 
--- a/tests/edge/replication_test.py
+++ b/tests/edge/replication_test.py
@@ -99,5 +99,58 @@
         await check_new_route_in_force(fleet, fleet.store.put_without_history)
 
 
+def reads_store(vm):
+    duty = vm.events("store_duty")
+    return not duty or duty[-1]["reads"]
+
+
+async def send_requests(vms, prefix, count=20):
+    """Sends requests to each VM; returns the statuses of the responses."""
+    callers = {vm.name: vm.caller() for vm in vms}
+    statuses = []
+    for number in range(count):
+        responses = await asyncio.gather(
+            *(caller.request(f"{prefix}{number}-{name}", "/read/x")
+              for name, caller in callers.items()))
+        statuses += [response.status for response in responses]
+    for caller in callers.values():
+        caller.close()
+    return statuses
+
+
+async def check_out_of_use(upstream, vms):
+    """Checks that the VMs send no request to the upstream."""
+    before = len(upstream.runs)
+    await send_requests(vms, f"late-{upstream.name}-")
+    ids = {run[1] for run in upstream.runs[before:]}
+    check(not ids, f"{upstream.name} ran {sorted(ids)[:5]}")
+
+
+async def leave_unannounced(fleet, upstream):
+    """Removes the upstream's entry; it goes on serving and sends no heartbeats."""
+    fleet.upstreams.remove(upstream)
+    await upstream.unregister()
+
+
+async def test_removal_while_vms_restart():
+    """A restarted VM withholds from its peers that an upstream left while it was
+    down, and they go on sending requests to it."""
+    async with Fleet(vms=8, upstreams=5, failure_domains=2) as fleet:
+        await asyncio.sleep(ELECTION_S)
+        readers = [vm for vm in fleet.vms if reads_store(vm)]
+        killed = fleet.vms[:3] + [vm for vm in readers if vm not in fleet.vms[:3]]
+        await asyncio.gather(*(vm.kill() for vm in killed))
+        leaving = fleet.upstreams[0]
+        await leave_unannounced(fleet, leaving)
+        await fleet.configure(default_resources() + [route("new", "/new/", "desk")])
+        await asyncio.sleep(0.4)
+        for vm in killed:
+            vm.start()
+        await asyncio.sleep(DRAIN_BOUND_S)
+        others = [vm for vm in fleet.vms if vm not in killed]
+        await check_out_of_use(leaving, others)
+        leaving.stop()
+
+
 if __name__ == "__main__":
     sys.exit(run_tests(globals(), sys.argv[1:]))
--- a/tests/edge_policy_test.cpp
+++ b/tests/edge_policy_test.cpp
@@ -103,6 +103,16 @@
     return directory.apply(now, std::vector{record});
 }
 
+std::set<upstream_id> usable_ids(upstream_directory const& directory)
+{
+    std::set<upstream_id> ids;
+    for (auto const& entry : directory.usable())
+    {
+        ids.insert(entry.m_upstream.m_id);
+    }
+    return ids;
+}
+
 selection_context make_context(bool is_idempotent)
 {
     selection_context request;
@@ -419,8 +429,8 @@
     auto directory = make_directory();
     apply_one(directory, at(0ms), put("a", "1 1 r", 1));
     CHECK(apply_one(directory, at(0ms), removal("a", 5)));
-    CHECK(
-        !directory.apply_snapshot(at(0ms), std::vector{put("a", "1 2 r", 4)}));
+    CHECK(!directory.apply_snapshot(
+        at(0ms), std::vector{put("a", "1 2 r", 4)}, 5));
     CHECK(directory.usable().empty());
     CHECK(apply_one(directory, at(0ms), put("a", "1 3 r", 6)));
 }
@@ -460,12 +470,64 @@
     CHECK(update.m_records.size() == 2);
     CHECK(peer.adopt(at(0ms), update));
     CHECK(peer.last_change() == directory.last_change());
-    std::set<upstream_id> ids;
-    for (auto const& entry : peer.usable())
-    {
-        ids.insert(entry.m_upstream.m_id);
+    CHECK(usable_ids(peer) == std::set<upstream_id>{"b", "c"});
+}
+
+TEST_CASE("a peer drops what was removed before this VM's first snapshot")
+{
+    // A restarted VM knows no removals, and its peers kept sending requests to
+    // an upstream that had left.
+    auto peer = make_directory();
+    peer.apply(
+        at(0ms), std::vector{put("a", "1 1 r", 1), put("b", "1 1 r", 2)});
+    auto restarted = make_directory();
+    restarted.apply_snapshot(
+        at(0ms), std::vector{put("b", "1 2 r", 4), put("c", "1 1 r", 5)}, 6);
+    CHECK(peer.adopt(at(0ms), restarted.changes_since(peer.last_change())));
+    CHECK(usable_ids(peer) == std::set<upstream_id>{"b", "c"});
+}
+
+TEST_CASE("a peer drops what was added and removed before a later snapshot")
+{
+    // A VM that begins to read the store, or adopts a whole directory, does not
+    // see what came and went in between, but a peer may have seen it come.
+    for (bool const is_from_store : {true, false})
+    {
+        auto peer = make_directory();
+        peer.apply(
+            at(0ms), std::vector{put("a", "1 1 r", 1), put("b", "1 1 r", 2)});
+        auto directory = make_directory();
+        directory.adopt(at(0ms), peer.changes_since(0));
+        peer.apply(at(0ms), std::vector{put("brief", "1 1 r", 3)});
+        auto const latest =
+            std::vector{put("a", "1 2 r", 5), put("c", "1 1 r", 6)};
+        if (is_from_store)
+        {
+            directory.apply_snapshot(at(0ms), latest, 7);
+        }
+        else
+        {
+            directory.adopt(at(0ms), {true, latest, 6});
+        }
+        peer.adopt(at(0ms), directory.changes_since(peer.last_change()));
+        CHECK(usable_ids(peer) == std::set<upstream_id>{"a", "c"});
     }
-    CHECK(ids == std::set<upstream_id>{"b", "c"});
+}
+
+TEST_CASE("a snapshot does not make peers fetch what they know")
+{
+    auto directory = make_directory();
+    directory.apply_snapshot(
+        at(0ms), std::vector{put("a", "1 1 r", 1), put("b", "1 1 r", 2)}, 3);
+    auto peer = make_directory();
+    peer.adopt(at(0ms), directory.changes_since(0));
+    directory.apply_snapshot(
+        at(0ms), std::vector{put("a", "1 2 r", 3), put("c", "1 1 r", 4)}, 6);
+    auto const update = directory.changes_since(peer.last_change());
+    CHECK(!update.m_is_snapshot);
+    CHECK(update.m_records.size() == 2);
+    peer.adopt(at(0ms), update);
+    CHECK(usable_ids(peer) == std::set<upstream_id>{"a", "c"});
 }
 
 TEST_CASE("gossip messages survive encoding and malformed bytes are rejected")
