Tell peers of a removal when it is read, also if its effect is deferred

Cause: a reader of the store that assumes an outage has ended keeps removed live upstreams for 2 s. It recorded the removal only after that, under the offset at which it had been read. Peers that had fetched a later change in the meantime were past that offset and never asked for it.

Fix: a removal counts as a change at its own offset when it is read, and peers get it at once. Only its effect on routing is deferred, at each VM by its own knowledge. Related: a record from before the deferred removal cancelled it, and the limit of tombstones moved the start of the history to the offset of the last removal instead of the last change.

--- a/src/upstream_directory.cpp
+++ b/src/upstream_directory.cpp
@@ -100,7 +100,8 @@
         return true;
     }
     auto& entry = existing->second;
-    if (record.m_offset <= entry.m_offset || supersedes(entry.m_value, value))
+    auto const known_offset = std::max(entry.m_offset, entry.m_removal_offset);
+    if (record.m_offset <= known_offset || supersedes(entry.m_value, value))
     {
         return false;
     }
@@ -110,6 +111,7 @@
     entry.m_encoded_value = *record.m_value;
     entry.m_offset = record.m_offset;
     entry.m_removal_due.reset();
+    entry.m_removal_offset = 0;
     if (is_changed || is_restored)
     {
         entry.m_change_offset = record.m_offset;
@@ -126,29 +128,37 @@
     {
         return false;
     }
+    auto& entry = existing->second;
+    if (entry.m_removal_due)
+    {
+        return false;
+    }
+    advance_last_change(offset);
     // Upstreams could not renew their entries while the store was unavailable,
     // so they get time to register again.
     bool const may_be_alive =
         now < m_removal_grace_end &&
-        existing->second.m_value.m_upstream.m_state == vm_state::live;
+        entry.m_value.m_upstream.m_state == vm_state::live;
     if (may_be_alive)
     {
-        if (!existing->second.m_removal_due)
-        {
-            existing->second.m_removal_due = m_removal_grace_end;
-        }
-        existing->second.m_removal_offset = offset;
+        entry.m_removal_due = m_removal_grace_end;
+        entry.m_removal_offset = offset;
         return false;
     }
     m_entries.erase(existing);
+    record_removal(key, offset);
+    return true;
+}
+
+void upstream_directory::record_removal(
+    std::string const& key, log_offset offset)
+{
     m_tombstones[key] = offset;
     if (m_tombstones.size() > max_tombstones)
     {
         m_tombstones.clear();
-        m_history_start = offset;
+        m_history_start = m_last_change;
     }
-    advance_last_change(offset);
-    return true;
 }
 
 bool upstream_directory::adopt(time_point now, change_set const& peer_changes)
@@ -229,8 +239,7 @@
             entry->second.m_removal_due && now >= *entry->second.m_removal_due;
         if (is_expired)
         {
-            m_tombstones[entry->first] = entry->second.m_removal_offset;
-            advance_last_change(entry->second.m_removal_offset);
+            record_removal(entry->first, entry->second.m_removal_offset);
             entry = m_entries.erase(entry);
         }
         else
@@ -280,6 +289,11 @@
             result.m_records.push_back(
                 {key, entry.m_encoded_value, entry.m_offset});
         }
+        if (entry.m_removal_due && entry.m_removal_offset > offset)
+        {
+            result.m_records.push_back(
+                {key, std::nullopt, entry.m_removal_offset});
+        }
     }
     if (!result.m_is_snapshot)
     {
--- a/src/upstream_directory.hpp
+++ b/src/upstream_directory.hpp
@@ -50,8 +50,9 @@
         time_point now, std::span<store_record const> records, log_offset end);
 
     /// Called when the store is reachable again after an outage. For the next
-    /// `removal_grace_period`, removals of live upstreams are deferred, since
-    /// their entries may have expired only because of the outage.
+    /// `removal_grace_period`, removed live upstreams remain usable, since
+    /// their entries may have expired only because of the outage. Peers receive
+    /// the removals at once and decide for themselves.
     void start_removal_grace(time_point now);
 
     /// Removes the entries whose grace period has ended. Returns true if there
@@ -97,6 +98,7 @@
     bool apply_record(time_point now, store_record const& record);
     bool remove(time_point now, std::string const& key, log_offset offset);
     bool put(store_record const& record);
+    void record_removal(std::string const& key, log_offset offset);
     void advance_last_change(log_offset offset);
     void record_history_gap(log_offset begin, log_offset end);
     [[nodiscard]] bool has_history_since(log_offset offset) const;
--- a/tests/edge_policy_test.cpp
+++ b/tests/edge_policy_test.cpp
@@ -530,6 +530,55 @@
     CHECK(usable_ids(peer) == std::set<upstream_id>{"a", "c"});
 }
 
+TEST_CASE("peers learn of a removal that a reader of the store defers")
+{
+    // The removal was recorded when the delay ended, at an offset that the
+    // peers had passed, so they kept sending requests to the upstream.
+    auto reader = make_directory();
+    reader.apply(
+        at(0ms), std::vector{put("a", "1 1 r", 1), put("b", "1 1 r", 2)});
+    auto peer = make_directory();
+    peer.adopt(at(0ms), reader.changes_since(0));
+    reader.start_removal_grace(at(1s));
+    apply_one(reader, at(1100ms), removal("a", 3));
+    apply_one(reader, at(1200ms), put("b", "1 2 d", 4));
+    peer.adopt(at(1200ms), reader.changes_since(peer.last_change()));
+    reader.remove_expired(at(3100ms));
+    peer.adopt(at(3100ms), reader.changes_since(peer.last_change()));
+    CHECK(usable_ids(reader).empty());
+    CHECK(usable_ids(peer).empty());
+}
+
+TEST_CASE("a peer defers a removal only if it found the store away itself")
+{
+    auto reader = make_directory();
+    apply_one(reader, at(0ms), put("a", "1 1 r", 1));
+    auto peer = make_directory();
+    auto other = make_directory();
+    peer.adopt(at(0ms), reader.changes_since(0));
+    other.adopt(at(0ms), reader.changes_since(0));
+    reader.start_removal_grace(at(1s));
+    peer.start_removal_grace(at(1s));
+    apply_one(reader, at(1100ms), removal("a", 2));
+    CHECK(!peer.adopt(at(1200ms), reader.changes_since(1)));
+    CHECK(other.adopt(at(1200ms), reader.changes_since(1)));
+    CHECK(peer.usable().size() == 1);
+    CHECK(other.usable().empty());
+    CHECK(peer.next_expiry() == at(3s));
+    CHECK(peer.remove_expired(at(3s)));
+}
+
+TEST_CASE("an older record does not cancel a deferred removal")
+{
+    auto directory = make_directory();
+    apply_one(directory, at(0ms), put("a", "1 1 r", 1));
+    directory.start_removal_grace(at(1s));
+    apply_one(directory, at(1100ms), removal("a", 5));
+    apply_one(directory, at(1200ms), put("a", "1 2 r", 4));
+    CHECK(directory.remove_expired(at(3s)));
+    CHECK(directory.usable().empty());
+}
+
 TEST_CASE("gossip messages survive encoding and malformed bytes are rejected")
 {
     gossip_message message;
