Take the store for away only if no VM of the fleet has read it

Cause: a VM took the time from its first failed call to its next success for an outage of the store. A VM that gave up reading in between made no calls, so the time grew without bound: its log has store_regained with away_ms 15692 after a cut of 3 s. It then kept removed upstreams for 2 s. The same guess was wrong for a VM that alone was cut off: its peers had read the store throughout.

Ruled out: the reply of a peer (there is none; the VM reads the store itself).

Fix: what counts is the last read of the store by any VM, which the VMs tell each other anyway. Announcements expire after three intervals without renewal and a live upstream renews each interval, so removals are deferred only if no VM has read the store for two intervals (heartbeat_ms of the settings). Each VM judges for itself, when it reads the store again, adopts state from a peer or hears that a peer has read it. A failure is forgotten when a VM stops reading. The field peers_had_it of store_regained is replaced by outage.

--- a/src/edge_settings.hpp
+++ b/src/edge_settings.hpp
@@ -35,6 +35,8 @@
     std::chrono::milliseconds m_policy_update_limit{2000};
     /// Maximum time until a change of an upstream is in force.
     std::chrono::milliseconds m_upstream_update_limit{2000};
+    /// Interval at which upstreams renew their announcements in the store.
+    std::chrono::milliseconds m_announcement_interval{1500};
     /// Maximum time from the stop signal to the exit of the process.
     std::chrono::milliseconds m_shutdown_grace_period{6000};
     std::size_t m_max_connections = 3000;
--- a/src/gossip_service.cpp
+++ b/src/gossip_service.cpp
@@ -57,6 +57,11 @@
 /// reader, so that the peers rely on other readers, if there are any.
 constexpr std::chrono::milliseconds min_reader_age{1500};
 
+/// An announcement expires after three intervals without a renewal. The last
+/// renewal before an outage of the store may be one interval old, so an outage
+/// of fewer than this many intervals makes none expire.
+constexpr int min_outage_announcements = 2;
+
 /// The health snapshot is written to the store this often, for VMs that start
 /// when no other is left. An upstream's condition lasts some ten times as long.
 constexpr std::chrono::milliseconds health_snapshot_interval{1000};
@@ -466,8 +471,12 @@
         .set(static_cast<double>(view.m_known));
     bool const has_live_reader = now - m_reader_heard_at < reader_timeout;
     bool const is_fresh = now < freshness_expiry();
+    auto const min_outage =
+        min_outage_announcements * m_state->m_settings.m_announcement_interval;
     store_reader_role const role{
-        m_peers.should_read_store(now) || !is_fresh, has_live_reader};
+        m_peers.should_read_store(now) || !is_fresh,
+        has_live_reader,
+        m_state->m_freshness.unread_since(now, min_outage)};
     if (role == m_role)
     {
         return;
--- a/src/gossip_service.hpp
+++ b/src/gossip_service.hpp
@@ -36,6 +36,9 @@
     bool m_is_reader = true;
     /// Heartbeats of a peer that reads the store arrive.
     bool m_has_live_reader = false;
+    /// Since when no VM has read the store, as far as this one knows; nullopt
+    /// unless that is long enough for announcements of upstreams to expire.
+    std::optional<time_point> m_store_unread_since;
 
     friend bool
     operator==(store_reader_role const&, store_reader_role const&) = default;
--- a/src/replica_freshness.cpp
+++ b/src/replica_freshness.cpp
@@ -17,6 +17,7 @@
 
 void replica_freshness::confirm(std::uint64_t version, time_point as_of)
 {
+    m_last_confirmation = std::max(m_last_confirmation.value_or(as_of), as_of);
     if (version <= m_version)
     {
         m_confirmed = std::max(m_confirmed.value_or(as_of), as_of);
@@ -46,4 +47,13 @@
     return m_confirmed ? *m_confirmed + limit : time_point{};
 }
 
+std::optional<time_point>
+replicas_freshness::unread_since(time_point now, duration min_length) const
+{
+    auto const last_read =
+        std::max(m_policy.last_confirmation(), m_directory.last_confirmation());
+    bool const is_unread = last_read && now - *last_read >= min_length;
+    return is_unread ? last_read : std::nullopt;
+}
+
 } // namespace briarhub
--- a/src/replica_freshness.hpp
+++ b/src/replica_freshness.hpp
@@ -31,16 +31,29 @@
     /// When that age reaches `limit`; the clock's epoch if it is unknown.
     [[nodiscard]] time_point expiry(duration limit) const;
 
+    /// Latest confirmation of any version, also of one that this VM does not
+    /// have; nullopt if there was none.
+    [[nodiscard]] std::optional<time_point> last_confirmation() const
+    {
+        return m_last_confirmation;
+    }
+
 private:
     std::uint64_t m_version = 0;
     std::optional<time_point> m_confirmed;
     std::uint64_t m_newer_version = 0; ///< newest version known of peers
     time_point m_newer_confirmed{};
+    std::optional<time_point> m_last_confirmation;
 };
 
 /// Freshness of the state that this VM replicates.
 struct replicas_freshness
 {
+    /// Time of the last read of the store by any VM, if it was at least
+    /// `min_length` ago. Failed calls of this VM alone are no store outage.
+    [[nodiscard]] std::optional<time_point>
+    unread_since(time_point now, duration min_length) const;
+
     replica_freshness m_policy;
     replica_freshness m_directory;
 };
--- a/src/state_sync.cpp
+++ b/src/state_sync.cpp
@@ -43,13 +43,6 @@
 /// the newest records instead of the history since then.
 constexpr int max_missed_intervals = 3;
 
-/// Failures for this long count as a store outage, in which announcements may
-/// have expired although their upstreams are healthy.
-constexpr milliseconds min_outage{1000};
-
-/// After failures for this long it is known whether peers reach the store.
-constexpr milliseconds peer_check_delay{2000};
-
 constexpr milliseconds fetch_timeout{800};
 
 /// Largest configuration that is accepted from a peer.
@@ -150,6 +143,10 @@
 void state_sync::set_role(store_reader_role const& role)
 {
     bool const becomes_reader = role.m_is_reader && !m_role.m_is_reader;
+    if (!role.m_store_unread_since)
+    {
+        record_outage_end(runtime_clock::now());
+    }
     m_role = role;
     if (becomes_reader)
     {
@@ -168,6 +165,8 @@
 {
     while (!m_role.m_is_reader && !m_is_stopped)
     {
+        // How long the store is away is not observed without calls.
+        m_failing_since.reset();
         alarm.expires_at(time_point::max());
         co_await alarm.async_wait(use_tuple);
     }
@@ -471,18 +470,24 @@
         m_events.write(
             "store_regained",
             {{"away_ms", std::chrono::floor<milliseconds>(length).count()},
-             {"peers_had_it", m_peers_reach_store.value_or(false)}});
-        if (length >= min_outage && !m_peers_reach_store.value_or(false))
-        {
-            m_directory.start_removal_grace(now);
-        }
+             {"outage", m_role.m_store_unread_since.has_value()}});
     }
+    record_outage_end(now);
     m_failing_since.reset();
-    m_peers_reach_store.reset();
     m_consecutive_failures = 0;
     m_status.m_reaches_store = true;
 }
 
+/// Called when the store is known to respond to some VM. Announcements may have
+/// expired only if it responded to none before.
+void state_sync::record_outage_end(time_point now)
+{
+    if (m_role.m_store_unread_since)
+    {
+        m_directory.start_removal_grace(now);
+    }
+}
+
 void state_sync::record_store_failure(
     time_point sent, std::string_view call, store_failure failure)
 {
@@ -503,11 +508,6 @@
              {"waited_ms",
               std::chrono::floor<milliseconds>(now - sent).count()}});
     }
-    // Earlier, the peers' last messages may be from before the failure.
-    if (!m_peers_reach_store && now - *m_failing_since >= peer_check_delay)
-    {
-        m_peers_reach_store = m_role.m_has_live_reader;
-    }
     m_status.m_reaches_store = false;
 }
 
@@ -673,7 +673,9 @@
     bool const is_first = known == 0;
     if (update.m_last_change > known)
     {
-        bool const is_changed = m_directory.adopt(runtime_clock::now(), update);
+        auto const now = runtime_clock::now();
+        record_outage_end(now);
+        bool const is_changed = m_directory.adopt(now, update);
         m_events.write(
             "upstreams_fetched",
             {{"peer", peer},
--- a/src/state_sync.hpp
+++ b/src/state_sync.hpp
@@ -123,6 +123,7 @@
     handle_request(std::string_view path, std::string_view message) const;
     [[nodiscard]] bool is_behind(replica_status const& other) const;
     void record_store_success(time_point now);
+    void record_outage_end(time_point now);
     void record_store_failure(
         time_point sent, std::string_view call, store_failure failure);
     void publish_status();
@@ -157,8 +158,6 @@
     unsigned m_failed_fetches = 0;  ///< since the last successful one
     time_point m_next_fetch{};
     std::optional<time_point> m_failing_since;
-    /// Whether peers reach the store while this VM does not.
-    std::optional<bool> m_peers_reach_store;
     unsigned m_consecutive_failures = 0;
     bool m_is_writing_snapshot = false;
     bool m_is_stopped = false;
--- a/tests/edge/replication_test.py
+++ b/tests/edge/replication_test.py
@@ -152,5 +152,32 @@
         leaving.stop()
 
 
+async def test_removal_long_after_a_store_failure():
+    """A VM whose calls failed while it read the store, and that then left this to
+    a peer, takes its next read for the end of an outage and keeps upstreams."""
+    async with Fleet(vms=2, upstreams=4, failure_domains=1) as fleet:
+        proxies = await restart_behind_proxies(fleet)
+        await asyncio.sleep(ELECTION_S)
+        reader = next(vm for vm in fleet.vms if reads_store(vm))
+        successor = next(vm for vm in fleet.vms if vm is not reader)
+        proxy = proxies[successor.name]
+        proxy.stop()
+        await reader.kill()
+        await fleet.wait_until(lambda: successor.events("store_lost"))
+        reader.start()
+        await fleet.wait_until(reader.is_ready)
+        await fleet.wait_until(lambda: not reads_store(successor))
+        await proxy.listen(port=proxy.port)
+        await asyncio.sleep(1.5)
+        await reader.kill()
+        leaving = fleet.upstreams[0]
+        await leave_unannounced(fleet, leaving)
+        await asyncio.sleep(DRAIN_BOUND_S)
+        await check_out_of_use(leaving, [successor])
+        leaving.stop()
+        for each in proxies.values():
+            each.stop()
+
+
 if __name__ == "__main__":
     sys.exit(run_tests(globals(), sys.argv[1:]))
--- a/tests/wire_decode_test.cpp
+++ b/tests/wire_decode_test.cpp
@@ -227,7 +227,7 @@
         R"("control":"10.1.0.1:82"},"internal_ports":[7000,7010],)"
         R"("seeds":["10.1.0.2:82"],"limits":{"max_fds":4100},)"
         R"("bounds":["grace_s=6","retry_budget_extra=58","drain_ms=2500"],)"
-        R"("bootstrap":true,)"
+        R"("bootstrap":true,"heartbeat_ms":1200,)"
         R"("platform":{"address":"10.9.0.1:90"},"new_field":{}})";
     auto const decoded = decode_settings(text);
     REQUIRE(std::holds_alternative<edge_settings>(decoded));
@@ -237,6 +237,7 @@
     CHECK(settings.m_retries.m_extra == 58);
     CHECK(settings.m_upstream_update_limit == 2500ms);
     CHECK(settings.m_shutdown_grace_period == 6s);
+    CHECK(settings.m_announcement_interval == 1200ms);
     CHECK(settings.m_max_connections == 3200);
     CHECK(settings.m_is_bootstrap);
     auto const invalid =
