End deferred removals at their time also at VMs that do not read the store

Callers would see: after an outage of the store, requests go to an upstream that has not registered again, at the VMs that have left the reading to a peer, until they read the store themselves.

Cause: deferred removals were looked at only after a read of the store.

Fix: a timer for the earliest deferred removal, at every VM.

--- a/src/state_sync.cpp
+++ b/src/state_sync.cpp
@@ -120,7 +120,7 @@
                   "upstream_entry_rejected",
                   {{"key", key}, {"reason", reason}});
           }),
-      m_policy_timer(io), m_upstreams_timer(io)
+      m_policy_timer(io), m_upstreams_timer(io), m_removal_timer(io)
 {
 }
 
@@ -137,6 +137,7 @@
     m_is_stopped = true;
     m_policy_timer.cancel();
     m_upstreams_timer.cancel();
+    m_removal_timer.cancel();
     m_server.stop();
 }
 
@@ -413,7 +414,7 @@
                 record_store_success(now);
                 m_upstreams_offset = page->m_end;
                 m_directory_read_at = sent;
-                publish_upstreams(m_directory.apply_snapshot(
+                publish_read(m_directory.apply_snapshot(
                     now, page->m_records, page->m_end));
                 co_return true;
             }
@@ -430,12 +431,11 @@
         is_snapshot
             ? m_directory.apply_snapshot(now, page.m_records, page.m_end)
             : m_directory.apply(now, page.m_records);
-    is_changed = m_directory.remove_expired(now) || is_changed;
     if (page.m_reaches_log_end)
     {
         m_directory_read_at = sent;
     }
-    publish_upstreams(is_changed || is_first);
+    publish_read(is_changed || is_first);
     co_return true;
 }
 
@@ -444,11 +444,18 @@
     return m_options.m_upstream_update_limit / reads_per_drain_bound;
 }
 
-/// Publishes the directory if it changed. The replica status announces in any
-/// case that this VM reads the store.
-void state_sync::publish_upstreams(bool is_changed)
+/// Publishes the result of a read of the store. The replica status announces in
+/// any case that this VM reads the store.
+void state_sync::publish_read(bool is_changed)
 {
     m_status.m_is_store_reader = true;
+    m_has_unpublished_read = true;
+    publish_directory(is_changed);
+}
+
+/// Publishes the usable upstreams if they changed.
+void state_sync::publish_directory(bool is_changed)
+{
     if (is_changed)
     {
         auto usable = m_directory.usable();
@@ -458,10 +465,32 @@
         m_on_event(upstreams_event{std::move(usable)});
     }
     m_status.m_directory_offset = m_directory.last_change();
-    m_has_unpublished_read = true;
+    schedule_removals();
     publish_status();
 }
 
+/// Deferred removals are due at their time whether or not this VM reads the
+/// store then.
+void state_sync::schedule_removals()
+{
+    auto const due = m_directory.next_expiry();
+    if (!due || m_is_stopped)
+    {
+        m_removal_timer.cancel();
+        return;
+    }
+    m_removal_timer.expires_at(*due);
+    m_removal_timer.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                publish_directory(
+                    m_directory.remove_expired(runtime_clock::now()));
+            }
+        });
+}
+
 void state_sync::record_store_success(time_point now)
 {
     if (m_failing_since)
@@ -683,11 +712,7 @@
              {"records", update.m_records.size()},
              {"known", known},
              {"offset", m_directory.last_change()}});
-        if (is_changed || is_first)
-        {
-            m_on_event(upstreams_event{m_directory.usable()});
-        }
-        m_status.m_directory_offset = m_directory.last_change();
+        publish_directory(is_changed || is_first);
     }
     publish_status();
 }
--- a/src/state_sync.hpp
+++ b/src/state_sync.hpp
@@ -116,7 +116,9 @@
         std::string_view key, std::string_view value, std::string_view source);
     void apply_compressed_policy(
         endpoint_address const& peer, wire::StateReply const& state);
-    void publish_upstreams(bool is_changed);
+    void publish_read(bool is_changed);
+    void publish_directory(bool is_changed);
+    void schedule_removals();
     void
     apply_state_reply(endpoint_address const& peer, std::string_view reply);
     [[nodiscard]] std::optional<std::string>
@@ -154,6 +156,7 @@
     bool m_has_unpublished_read = false;
     timer m_policy_timer;
     timer m_upstreams_timer;
+    timer m_removal_timer;          ///< until the next deferred removal is due
     unsigned m_running_fetches = 0; ///< from peers
     unsigned m_failed_fetches = 0;  ///< since the last successful one
     time_point m_next_fetch{};
--- a/tests/edge/replication_test.py
+++ b/tests/edge/replication_test.py
@@ -23,6 +23,9 @@
 # Time after the start until the readers of the store are elected.
 ELECTION_S = 2.0
 
+# Time for which VMs keep upstreams whose entries expired in a store outage.
+REMOVAL_GRACE_S = 2.0
+
 
 async def check_new_route_in_force(fleet, put=None):
     """Adds a route and checks all VMs after the policy bound."""
@@ -152,6 +155,27 @@
         leaving.stop()
 
 
+async def test_upstreams_that_expired_in_a_store_outage():
+    """VMs drop live upstreams whose entries expired in an outage of the store, or
+    keep one that has not registered again, at VMs that do not read the store."""
+    async with Fleet(vms=6, upstreams=4, failure_domains=2) as fleet:
+        await asyncio.sleep(ELECTION_S)
+        fleet.heartbeats.cancel()
+        fleet.store.status = 503
+        await asyncio.sleep(4.0)
+        for upstream in fleet.upstreams:
+            await upstream.unregister()
+        fleet.store.status = None
+        await asyncio.sleep(1.2)
+        statuses = await send_requests(fleet.vms, "lapsed-")
+        check(set(statuses) == {200}, f"statuses {sorted(statuses)}")
+        gone, *alive = fleet.upstreams
+        for upstream in alive:
+            await upstream.register()
+        await asyncio.sleep(REMOVAL_GRACE_S)
+        await check_out_of_use(gone, fleet.vms)
+
+
 async def test_removal_long_after_a_store_failure():
     """A VM whose calls failed while it read the store, and that then left this to
     a peer, takes its next read for the end of an outage and keeps upstreams."""
