--- a/src/upstream_directory.cpp
+++ b/src/upstream_directory.cpp
@@ -101,6 +101,11 @@
     }
     auto& entry = existing->second;
     auto const known_offset = std::max(entry.m_offset, entry.m_removal_offset);
+    if (record.m_offset >= entry.m_change_offset)
+    {
+        // The change was known before the changes that precede it.
+        advance_last_change(entry.m_change_offset);
+    }
     if (record.m_offset <= known_offset || supersedes(entry.m_value, value))
     {
         return false;
@@ -163,27 +168,31 @@
 
 bool upstream_directory::adopt(time_point now, change_set const& peer_changes)
 {
+    auto const last_change =
+        std::max(m_last_change, peer_changes.m_last_change);
     bool const is_changed =
         peer_changes.m_is_snapshot
             ? apply_snapshot(
                   now, peer_changes.m_records, peer_changes.m_last_change + 1)
             : apply(now, peer_changes.m_records);
-    advance_last_change(peer_changes.m_last_change);
+    // A record has the offset of the upstream's last announcement, and the peer
+    // may lack changes before it.
+    m_last_change = last_change;
     return is_changed;
 }
 
 bool upstream_directory::apply_snapshot(
     time_point now, std::span<store_record const> records, log_offset end)
 {
-    record_history_gap(m_last_change, end);
-    std::set<std::string> listed_keys;
-    log_offset removal_offset = m_last_change;
+    log_offset const last = end > 0 ? end - 1 : 0;
+    auto const last_complete = std::max(m_last_change, last);
+    record_history_gap(m_last_change, last);
+    bool is_changed = apply(now, records);
+    std::set<std::string_view> listed_keys;
     for (auto const& record : records)
     {
         listed_keys.insert(record.m_key);
-        removal_offset = std::max(removal_offset, record.m_offset);
     }
-    bool is_changed = apply(now, records);
     std::vector<std::string> missing_keys;
     for (auto const& [key, entry] : m_entries)
     {
@@ -194,10 +203,11 @@
     }
     for (auto const& key : missing_keys)
     {
-        auto const offset =
-            std::max(removal_offset, m_entries[key].m_offset + 1);
-        is_changed = remove(now, key, offset) || is_changed;
+        is_changed = remove(now, key, last) || is_changed;
     }
+    // Later pages of a snapshot can show changes from after `end`, but not all
+    // of them.
+    m_last_change = std::min(m_last_change, last_complete);
     return is_changed;
 }
 
@@ -208,14 +218,13 @@
 
 void upstream_directory::record_history_gap(log_offset begin, log_offset end)
 {
-    auto const last = end > 0 ? end - 1 : 0;
-    if (begin >= last)
+    if (begin >= end)
     {
         return;
     }
     m_history_start = std::max(m_history_start, m_gap_end);
     m_gap_begin = begin;
-    m_gap_end = last;
+    m_gap_end = end;
 }
 
 /// True if all changes after the offset are known.
--- a/tests/edge_policy_test.cpp
+++ b/tests/edge_policy_test.cpp
@@ -579,6 +579,49 @@
     CHECK(directory.usable().empty());
 }
 
+TEST_CASE("peers learn of a removal that only a snapshot shows")
+{
+    // The removal is the last record of the log, after all that is listed.
+    auto directory = make_directory();
+    directory.apply(
+        at(0ms), std::vector{put("a", "1 1 r", 1), put("b", "1 1 r", 2)});
+    auto peer = make_directory();
+    peer.adopt(at(0ms), directory.changes_since(0));
+    directory.apply_snapshot(at(0ms), std::vector{put("b", "1 1 r", 2)}, 4);
+    REQUIRE(directory.last_change() > peer.last_change());
+    peer.adopt(at(0ms), directory.changes_since(peer.last_change()));
+    CHECK(usable_ids(peer) == std::set<upstream_id>{"b"});
+}
+
+TEST_CASE("a snapshot does not remove what was announced after it was taken")
+{
+    // While the read is in progress, a peer can provide a later state.
+    auto directory = make_directory();
+    directory.apply(
+        at(0ms), std::vector{put("a", "1 1 r", 1), put("new", "1 1 r", 9)});
+    directory.apply_snapshot(at(0ms), std::vector{put("a", "1 2 r", 5)}, 8);
+    CHECK(usable_ids(directory) == std::set<upstream_id>{"a", "new"});
+}
+
+TEST_CASE("peers learn of a change between the pages of a snapshot")
+{
+    // The first page was read at offset 5, then "a" changed, and the second
+    // page shows a later change of "z". A version that counts the later change
+    // would hide the change of "a" from the peers.
+    auto directory = make_directory();
+    directory.apply_snapshot(
+        at(0ms), std::vector{put("a", "1 1 r", 4), put("z", "1 1 r", 7)}, 5);
+    auto peer = make_directory();
+    peer.adopt(at(0ms), directory.changes_since(0));
+    directory.apply(
+        at(0ms), std::vector{put("a", "1 2 d", 6), put("z", "1 1 r", 7)});
+    REQUIRE(directory.last_change() > peer.last_change());
+    peer.adopt(at(0ms), directory.changes_since(peer.last_change()));
+    CHECK(usable_ids(peer) == std::set<upstream_id>{"z"});
+    CHECK(directory.last_change() == 7);
+    CHECK(peer.last_change() == 7);
+}
+
 TEST_CASE("gossip messages survive encoding and malformed bytes are rejected")
 {
     gossip_message message;
