Do not fetch the directory along with a newer policy

A VM that lacks the history now sends its whole directory, which has some 200 bytes for each upstream. Each VM that fetched a newer policy from it would get that too, though its own directory may be as new: 75 kB to each of 290 VMs on the large site, on links of 12 Mbit/s. So a request says whether the sender knows of a newer directory. One without the field, from an older process, gets both as before.

--- a/src/state_sync.cpp
+++ b/src/state_sync.cpp
@@ -570,7 +570,7 @@
         {
             if (seed != m_options.m_peer_listen)
             {
-                asio::co_spawn(m_io, fetch_state(seed), asio::detached);
+                asio::co_spawn(m_io, fetch_state(seed, true), asio::detached);
             }
         }
         co_await pause(seed_interval);
@@ -583,6 +583,15 @@
            other.m_directory_offset > m_directory.last_change();
 }
 
+/// A VM that started or became a reader a short time ago may have to send its
+/// whole directory, so it is asked only for one that is known to be newer.
+bool state_sync::wants_directory_of(replica_status const& other) const
+{
+    auto const known = m_directory.last_change();
+    return known == 0 ||
+           (other.m_is_store_reader && other.m_directory_offset > known);
+}
+
 void state_sync::handle_newer_peer(newer_peer const& peer)
 {
     bool const is_wanted = is_behind(peer.m_state) && !m_is_stopped &&
@@ -606,7 +615,8 @@
     {
         bool const is_successful = co_await fetch_state(
             asio::ip::address_v4{peer.m_vm}.to_string() + ':' +
-            std::to_string(own->m_port));
+                std::to_string(own->m_port),
+            wants_directory_of(peer.m_state));
         record_fetch_result(is_successful);
     }
     --m_running_fetches;
@@ -628,12 +638,14 @@
 }
 
 /// False if the peer did not reply with state.
-asio::awaitable<bool> state_sync::fetch_state(endpoint_address peer)
+asio::awaitable<bool>
+state_sync::fetch_state(endpoint_address peer, bool wants_directory)
 {
     auto const sent = runtime_clock::now();
     wire::StateRequest request;
     request.set_policy_version(m_status.m_policy_version);
     request.set_directory_change(m_directory.last_change());
+    request.set_policy_only(!wants_directory);
     auto const reply = co_await m_client.request(
         peer,
         std::string{state_path},
@@ -737,7 +749,7 @@
         reply.set_policy_size(m_policy_size);
     }
     auto const known = request.directory_change();
-    if (m_directory.last_change() > known)
+    if (!request.policy_only() && m_directory.last_change() > known)
     {
         auto const update = m_directory.changes_since(known);
         reply.set_is_whole_directory(update.m_is_snapshot);
--- a/src/state_sync.hpp
+++ b/src/state_sync.hpp
@@ -107,7 +107,8 @@
     boost::asio::awaitable<bool> read_upstreams_once();
     boost::asio::awaitable<void> fetch_from_seeds();
     boost::asio::awaitable<void> fetch_newer_state(newer_peer peer);
-    boost::asio::awaitable<bool> fetch_state(endpoint_address peer);
+    boost::asio::awaitable<bool>
+    fetch_state(endpoint_address peer, bool wants_directory);
     void record_fetch_result(bool is_successful);
     boost::asio::awaitable<void> pause(duration length);
     boost::asio::awaitable<void> wait_for_role(timer& alarm);
@@ -124,6 +125,7 @@
     [[nodiscard]] std::optional<std::string>
     handle_request(std::string_view path, std::string_view message) const;
     [[nodiscard]] bool is_behind(replica_status const& other) const;
+    [[nodiscard]] bool wants_directory_of(replica_status const& other) const;
     void record_store_success(time_point now);
     void record_outage_end(time_point now);
     void record_store_failure(
