Bound the response bodies that a process holds at once

Report of other operators: a faulty upstream sent an answer without end, and the machine that had called it kept it all and ran out of memory. One answer was bounded here (test_endless_responses), their sum was not: up to 2 MiB of each response is buffered, twice that while it is handed to a slow caller, and nothing limits how many there are.

Fix: all response bodies share a quarter of the process's memory limit (limits.memory_mb). A response that finds no room is streamed at once, which gives up the retry that buffering allows; the first 16 KiB are always buffered, so short responses are not affected. Data is streamed without copying it. A body that is too long to buffer is only streamed if its head could be forwarded: a success without the seal or with an encoding, or a rejection, is now a damaged response; its head went to the caller before.

--- a/src/edge_attempts.cpp
+++ b/src/edge_attempts.cpp
@@ -165,6 +165,10 @@
         exchange.m_address = target.m_upstream.m_address;
         exchange.m_deadline = m_request.m_deadline;
         exchange.m_max_buffered_bytes = max_buffered_response_bytes;
+        exchange.m_may_stream = [this](http::response_header<> const& head)
+        {
+            return !is_rejection(head) && is_valid_response(head);
+        };
         exchange.m_may_reuse = may_reuse();
         auto& message = exchange.m_message;
         message.base() = m_request.m_head;
@@ -355,7 +359,6 @@
     {
         auto const now = runtime_clock::now();
         auto& load_balancer = m_state.m_load_balancer;
-        auto const& names = m_state.m_header_names;
         unsigned const status = result.m_head.result_int();
         bool const is_misdirected =
             result.m_head.result() == http::status::misdirected_request;
@@ -363,7 +366,7 @@
         {
             record_notice(tag, result.m_head);
         }
-        if (is_misdirected || result.m_head.count(names.m_not_executed) > 0)
+        if (is_rejection(result.m_head))
         {
             load_balancer.observe(now, tag, observation::rejected);
             if (is_misdirected)
@@ -372,12 +375,7 @@
             }
             return exchange_outcome::not_executed;
         }
-        bool const is_success = status < 300;
-        bool const is_valid =
-            !is_success ||
-            (result.m_head.count(names.m_response_seal) > 0 &&
-             result.m_head.count(http::field::content_encoding) == 0);
-        if (!is_valid || status >= 500)
+        if (!is_valid_response(result.m_head) || status >= 500)
         {
             load_balancer.observe(now, tag, observation::failed);
             m_has_error_response = status >= 500;
@@ -394,6 +392,23 @@
         return exchange_outcome::served;
     }
 
+    /// True if the upstream states that it did not execute the request.
+    [[nodiscard]] bool is_rejection(http::response_header<> const& head) const
+    {
+        return head.result() == http::status::misdirected_request ||
+               head.count(m_state.m_header_names.m_not_executed) > 0;
+    }
+
+    /// A success must have the upstream's seal and its own encoding.
+    [[nodiscard]] bool
+    is_valid_response(http::response_header<> const& head) const
+    {
+        constexpr unsigned first_redirection_status = 300;
+        return head.result_int() >= first_redirection_status ||
+               (head.count(m_state.m_header_names.m_response_seal) > 0 &&
+                head.count(http::field::content_encoding) == 0);
+    }
+
     /// Applies what the upstream states about itself, so that the next
     /// selection heeds it.
     void record_notice(upstream_tag tag, http::response_header<> const& head)
@@ -599,6 +614,7 @@
         response.version(http_1_1);
         bool const is_head = m_request.m_head.method() == http::verb::head;
         response.body() = std::move(result.m_body);
+        m_request.m_response_buffer = std::move(result.m_buffer);
         if (is_head && !declared_length.empty())
         {
             response.set(http::field::content_length, declared_length);
--- a/src/edge_request.hpp
+++ b/src/edge_request.hpp
@@ -30,6 +30,8 @@
     std::string m_id;        ///< request ID sent by the caller
     time_point m_received{}; ///< when the request was fully read
     disconnect_monitor* m_caller = nullptr;
+    /// Space of the response body until it is written to the caller.
+    buffer_reservation m_response_buffer;
 
     // Set by the filters.
     /// Policy that applies until the request ends.
--- a/src/edge_session.cpp
+++ b/src/edge_session.cpp
@@ -489,17 +489,16 @@
 
 asio::awaitable<bool> edge_session::write_stream_data(std::string_view data)
 {
-    std::string text;
-    if (m_is_chunked)
-    {
-        text = fmt::format("{:x}\r\n", data.size());
-        text += data;
-        text += "\r\n";
-        data = text;
-    }
+    std::string const size =
+        m_is_chunked ? fmt::format("{:x}\r\n", data.size()) : std::string{};
+    std::string_view const end = m_is_chunked ? "\r\n" : "";
+    std::array<asio::const_buffer, 3> const buffers{
+        asio::buffer(size),
+        asio::buffer(data.data(), data.size()),
+        asio::buffer(end.data(), end.size())};
     start_timeout(write_timeout);
-    auto [error, bytes] = co_await asio::async_write(
-        m_socket, asio::buffer(data.data(), data.size()), use_tuple);
+    auto [error, bytes] =
+        co_await asio::async_write(m_socket, buffers, use_tuple);
     cancel_timeout();
     co_return !error;
 }
--- a/src/edge_settings.hpp
+++ b/src/edge_settings.hpp
@@ -40,6 +40,7 @@
     /// Maximum time from the stop signal to the exit of the process.
     std::chrono::milliseconds m_shutdown_grace_period{6000};
     std::size_t m_max_connections = 3000;
+    std::size_t m_memory_limit = 256UL * 1024 * 1024; ///< bytes, of the process
     std::string m_log_level = "info";
 
     friend bool
--- a/src/edge_state.cpp
+++ b/src/edge_state.cpp
@@ -14,6 +14,9 @@
 /// Weight of a new response in the moving average of a route's response size.
 constexpr double response_size_smoothing = 0.2;
 
+/// One in this many bytes of the process's memory may hold response bodies.
+constexpr std::size_t buffer_share = 4;
+
 } // namespace
 
 edge_state::edge_state(
@@ -27,7 +30,8 @@
       m_load_balancer(settings.m_failure_domain, random_seed()),
       m_rate_limiter(runtime_clock::now()),
       m_retries(runtime_clock::now(), settings.m_retries), m_pool(io),
-      m_exchanges(io, names, m_pool)
+      m_buffers(settings.m_memory_limit / buffer_share),
+      m_exchanges(io, names, m_pool, m_buffers)
 {
     m_load_balancer.set_idle_connection_check(
         [this](endpoint_address const& address)
--- a/src/edge_state.hpp
+++ b/src/edge_state.hpp
@@ -5,6 +5,7 @@
 /// health and load of upstreams, rate limits, retry budgets, upstream
 /// connections and metrics. All sessions of the process share it.
 
+#include "buffer_budget.hpp"
 #include "connection_pool.hpp"
 #include "edge_settings.hpp"
 #include "event_log.hpp"
@@ -107,6 +108,7 @@
     std::map<service_name, return_schedule> m_returns; ///< of refused callers
     replicas_freshness m_freshness;
     connection_pool m_pool;
+    buffer_budget m_buffers; ///< of response bodies
     upstream_exchange m_exchanges;
 
     /// Called when there are state updates to gossip to the peers.
--- a/src/gossip_service.cpp
+++ b/src/gossip_service.cpp
@@ -421,6 +421,8 @@
         m_state->m_metrics.get_gauge("briarhub_upstreams_closed")
             .set(static_cast<double>(
                 m_state->m_load_balancer.closed_upstreams(now)));
+        m_state->m_metrics.get_gauge("briarhub_buffered_response_bytes")
+            .set(static_cast<double>(m_state->m_buffers.reserved()));
         save_health_snapshot(now);
         auto message = make_message();
         message.m_upstreams = m_state->m_load_balancer.collect_updates(true);
--- a/src/upstream_exchange.cpp
+++ b/src/upstream_exchange.cpp
@@ -119,12 +119,14 @@
     active_exchange(
         header_names const& names,
         connection_pool& pool,
+        buffer_budget& buffers,
         exchange_request&& request,
         response_stream const& stream,
         std::shared_ptr<exchange_state> state)
         : m_names(names), m_pool(pool), m_request(std::move(request)),
           m_stream(stream), m_state(std::move(state))
     {
+        m_result.m_buffer = buffer_reservation{buffers};
         m_state->m_message = std::move(m_request.m_message);
         m_is_head_request = m_state->m_message.method() == http::verb::head;
     }
@@ -316,19 +318,17 @@
         {
             co_return true;
         }
-        bool is_accepted = true;
-        if (m_result.m_streamed)
+        if (!m_result.m_streamed && buffer(data))
         {
-            is_accepted = co_await m_stream.m_on_data(data);
+            co_return true;
         }
-        else
+        if (!m_result.m_streamed && !m_request.m_may_stream(m_result.m_head))
         {
-            m_result.m_body += data;
-            if (m_result.m_body.size() > m_request.m_max_buffered_bytes)
-            {
-                is_accepted = co_await start_stream(parser);
-            }
+            fail(exchange_end::damaged, "response exceeds the buffer");
+            co_return false;
         }
+        bool is_accepted = m_result.m_streamed || co_await start_stream(parser);
+        is_accepted = is_accepted && co_await m_stream.m_on_data(data);
         if (!is_accepted)
         {
             fail(exchange_end::stopped, "the caller accepted no more data");
@@ -336,6 +336,28 @@
         co_return is_accepted;
     }
 
+    /// Returns false, and buffers nothing, if there is no space.
+    bool buffer(std::string_view data)
+    {
+        auto& body = m_result.m_body;
+        auto const size = body.size() + data.size();
+        // A string that is too small doubles its capacity.
+        auto const capacity = size <= body.capacity()
+                                  ? body.capacity()
+                                  : std::max(size, 2 * body.capacity());
+        // Short responses are buffered in any case, so that they can be
+        // retried.
+        auto const reserved = capacity - std::min(capacity, read_chunk_bytes);
+        bool const has_space = size <= m_request.m_max_buffered_bytes &&
+                               m_result.m_buffer.resize(reserved);
+        if (has_space)
+        {
+            body.reserve(capacity);
+            body += data;
+        }
+        return has_space;
+    }
+
     asio::awaitable<bool>
     start_stream(http::response_parser<http::buffer_body>& parser)
     {
@@ -349,8 +371,11 @@
         {
             co_return false;
         }
-        std::string const buffered = std::exchange(m_result.m_body, {});
-        co_return co_await m_stream.m_on_data(buffered);
+        bool const is_accepted = m_result.m_body.empty() ||
+                                 co_await m_stream.m_on_data(m_result.m_body);
+        std::string{}.swap(m_result.m_body);
+        m_result.m_buffer.release();
+        co_return is_accepted;
     }
 
     /// Returns the connection to the pool if the request was fully written and
@@ -455,8 +480,11 @@
 }
 
 upstream_exchange::upstream_exchange(
-    asio::io_context& io, header_names const& names, connection_pool& pool)
-    : m_io(io), m_names(names), m_pool(pool)
+    asio::io_context& io,
+    header_names const& names,
+    connection_pool& pool,
+    buffer_budget& buffers)
+    : m_io(io), m_names(names), m_pool(pool), m_buffers(buffers)
 {
 }
 
@@ -474,7 +502,12 @@
         co_return unsent;
     }
     active_exchange exchange{
-        m_names, m_pool, std::move(request), stream, std::move(state)};
+        m_names,
+        m_pool,
+        m_buffers,
+        std::move(request),
+        stream,
+        std::move(state)};
     co_return co_await exchange.perform();
 }
 
--- a/src/upstream_exchange.hpp
+++ b/src/upstream_exchange.hpp
@@ -6,6 +6,7 @@
 /// request may have reached the upstream, so that the caller can decide on a
 /// retry. Responses to other requests on a reused connection are discarded.
 
+#include "buffer_budget.hpp"
 #include "connection_pool.hpp"
 #include "header_names.hpp"
 #include "types.hpp"
@@ -61,8 +62,13 @@
     time_point m_deadline{};
     /// Whether the request may use an idle connection from the pool.
     bool m_may_reuse = true;
-    /// A response body with more bytes is streamed.
+    /// A response body with more bytes, or for which the process has no more
+    /// buffer space, is streamed.
     std::size_t m_max_buffered_bytes = 0;
+    /// Whether a response with this head may be streamed. One that may not and
+    /// exceeds the buffer is damaged.
+    std::function<bool(boost::beast::http::response_header<> const& head)>
+        m_may_stream;
 };
 
 struct exchange_result
@@ -73,7 +79,8 @@
     bool m_is_new_connection = false;
     boost::beast::http::response_header<> m_head;
     std::string m_body;
-    std::string m_error; ///< cause of a failure, for the log
+    buffer_reservation m_buffer; ///< space of the body
+    std::string m_error;         ///< cause of a failure, for the log
 };
 
 namespace detail
@@ -101,7 +108,8 @@
     upstream_exchange(
         boost::asio::io_context& io,
         header_names const& names,
-        connection_pool& pool);
+        connection_pool& pool,
+        buffer_budget& buffers);
 
     /// Runs one exchange. `control` and `stream` must outlive it.
     boost::asio::awaitable<exchange_result>
@@ -113,6 +121,7 @@
     boost::asio::io_context& m_io;
     header_names const& m_names;
     connection_pool& m_pool;
+    buffer_budget& m_buffers;
 };
 
 } // namespace briarhub
--- a/tests/edge/edge_test.py
+++ b/tests/edge/edge_test.py
@@ -607,6 +607,47 @@
             check(vm.process.poll() is None, "the process exited")
 
 
+async def hold_responses(vm, count, prefix):
+    """Sends requests on connections of their own and reads no responses; returns
+    the callers."""
+    callers = [vm.caller() for _ in range(count)]
+    await asyncio.gather(
+        *(caller.send(f"{prefix}{number}", "/write/x", method="POST", remaining_ms=8000)
+          for number, caller in enumerate(callers)))
+    return callers
+
+
+async def test_memory_of_many_unfinished_responses():
+    """Endless or long responses that are each within the limit of one response
+    together exhaust the memory of a VM, and all of its callers lose their requests."""
+    memory_mb = 160
+    resources = default_resources()
+    resources[1]["spec"]["timeout_ms"] = 4000
+    for fault in ("endless_body", "endless_failure", "endless_chunk_size", "large"):
+        async with Fleet(vms=1, upstreams=8) as fleet:
+            await fleet.configure(resources)
+            vm = fleet.vms[0]
+            vm.write_settings(limits={"max_fds": 4100, "memory_mb": memory_mb})
+            await vm.kill()
+            vm.start()
+            await fleet.wait_until(vm.is_ready)
+            for upstream in fleet.upstreams:
+                upstream.slots = 100
+                await upstream.register()
+                upstream.fault = lambda headers, fault=fault: (
+                    None if headers["briarhub-request-id"].startswith("small") else fault)
+            await asyncio.sleep(1.0)
+            callers = await hold_responses(vm, 150, "held")
+            await asyncio.sleep(1.5)
+            small = await vm.caller().request("small", "/read/x")
+            peak_mb = peak_memory_kib(vm) / 1024
+            check(small.status == 200, f"{fault}: {small.status} for a short response")
+            check(peak_mb < memory_mb, f"{fault}: the process took {peak_mb:.0f} MiB")
+            check(vm.process.poll() is None, "the process exited")
+            for caller in callers:
+                caller.close()
+
+
 async def test_idle_connections_reset_by_upstreams():
     """Requests fail, or are rejected as if they crashed upstreams, because
     upstreams reset idle connections."""
--- a/tests/wire_decode_test.cpp
+++ b/tests/wire_decode_test.cpp
@@ -225,7 +225,7 @@
         R"({"node":"n1","ip":"10.1.0.1","zone":"z1",)"
         R"("listen":{"front":"10.1.0.1:80","ready":"10.1.0.1:81",)"
         R"("control":"10.1.0.1:82"},"internal_ports":[7000,7010],)"
-        R"("seeds":["10.1.0.2:82"],"limits":{"max_fds":4100},)"
+        R"("seeds":["10.1.0.2:82"],"limits":{"max_fds":4100,"memory_mb":160},)"
         R"("bounds":["grace_s=6","retry_budget_extra=58","drain_ms=2500"],)"
         R"("bootstrap":true,"heartbeat_ms":1200,)"
         R"("platform":{"address":"10.9.0.1:90"},"new_field":{}})";
@@ -239,6 +239,7 @@
     CHECK(settings.m_shutdown_grace_period == 6s);
     CHECK(settings.m_announcement_interval == 1200ms);
     CHECK(settings.m_max_connections == 3200);
+    CHECK(settings.m_memory_limit == 160'000'000);
     CHECK(settings.m_is_bootstrap);
     auto const invalid =
         decode_settings(replaced(text, "\"grace_s=6\"", "\"grace_s=x\""));
