Treat a response without a length as broken if the request's write failed

Cause: the kernel reports a reset once. The pending write took the error and its handler dropped it; the read then found an orderly end, which completes a body without a length.

The other framings are not affected: the parser knows where they end.

Fix: a write that failed makes such a response broken. A write that is only pending does not: the end of the connection was then orderly.

--- a/src/upstream_exchange.cpp
+++ b/src/upstream_exchange.cpp
@@ -102,6 +102,7 @@
     http::request<http::string_body> m_message;
     timer m_timer;
     bool m_is_request_written = false;
+    bool m_has_write_failed = false;
     bool m_is_timed_out = false;
     bool m_is_stopped = false;
 };
@@ -213,6 +214,7 @@
             [state = m_state](error_code error, std::size_t)
             {
                 state->m_is_request_written = !error;
+                state->m_has_write_failed = static_cast<bool>(error);
             });
     }
 
@@ -307,7 +309,15 @@
                 co_return false;
             }
         }
-        co_return true;
+        // A reset is reported once. If the pending write took it, the read
+        // finds an orderly end, which would complete a body without a length.
+        bool const may_be_truncated =
+            parser.need_eof() && m_state->m_has_write_failed;
+        if (may_be_truncated)
+        {
+            fail(exchange_end::broken, "reset in a response without a length");
+        }
+        co_return !may_be_truncated;
     }
 
     /// Buffers body data, or streams it once the buffer limit is exceeded.
--- a/tests/edge/edge_test.py
+++ b/tests/edge/edge_test.py
@@ -17,7 +17,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
-from stand_ins import ENDLESS_RESPONSES  # noqa: E402
+from stand_ins import ENDLESS_RESPONSES, Upstream, read_head  # noqa: E402
 from runner import check, run_tests  # noqa: E402
 from fleet import GOSSIP_PORT, Fleet, limits, route, service, account, default_resources  # noqa: E402
 
@@ -579,6 +579,63 @@
     return first, last, ended - started
 
 
+class EarlyUpstream(Upstream):
+    """Begins a response without a length before it reads a long body, and resets
+    the connection in the middle of the response."""
+
+    RECEIVE_BUFFER_BYTES = 16 * 1024
+    PART = b"first half\n" * 1000
+
+    async def listen(self, host="127.0.0.1", port=0):
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, self.RECEIVE_BUFFER_BYTES)
+        listener.bind((host, port))
+        self.server = await asyncio.start_server(
+            self._handle_connection, sock=listener, limit=self.RECEIVE_BUFFER_BYTES)
+        self.port = listener.getsockname()[1]
+        return self
+
+    async def serve(self, reader, writer):
+        head = await read_head(reader)
+        if head is None:
+            return
+        request_id = head[1].get("briarhub-request-id", "")
+        writer.write(
+            "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+            f"Briarhub-Request-Id: {request_id}\r\n"
+            f"Briarhub-Response-Seal: {self.seal(request_id)}\r\n\r\n".encode()
+            + self.PART)
+        await writer.drain()
+        await asyncio.sleep(0.1)
+        writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+
+
+async def test_reset_of_response_without_length():
+    """A response without a length that is reset while the request is still being
+    written reaches the caller as a complete one."""
+    resources = default_resources()
+    resources[-1]["spec"]["max_body_bytes"] = 64 << 20
+    async with Fleet(vms=1, upstreams=0) as fleet:
+        upstream = EarlyUpstream(fleet.store, "early", "desk", slots=8)
+        await upstream.listen()
+        await upstream.register()
+        fleet.upstreams.append(upstream)
+        await fleet.configure(resources)
+        await asyncio.sleep(1.0)
+        for number, size in enumerate((12_000_000, 300)):
+            for repeat in range(3):
+                # A request that is sent again counts as one that crashes upstreams.
+                body = b"%d" % repeat * size
+                caller = fleet.vms[0].caller()
+                response = await caller.request(
+                    f"early-{number}-{repeat}", "/write/x", method="POST", body=body)
+                caller.close()
+                check(response.status in (0, 502), f"{response.status} after {size} bytes")
+
+
 async def test_endless_responses():
     """An endless response from an upstream exhausts the memory of a VM, delays a
     request beyond its timeout or counts as a complete response."""
