Bound the request bodies that a process holds at once, without copies of them

Cause: each body was held three times, once as read, once more for its digest and for each attempt, and nothing limited their sum.

Fix: a body is held once and shared with the write to the upstream, which can outlast the exchange. Request and response bodies share one budget, half of the memory limit, so neither bound undoes the other: while long requests hold it, responses are streamed; while responses hold it, a request with a long body is refused at once as overloaded (503, not run, Retry-After 1 s). Bodies of up to 16 KiB need no space.

--- a/src/edge_attempts.cpp
+++ b/src/edge_attempts.cpp
@@ -170,29 +170,30 @@
             return !is_rejection(head) && is_valid_response(head);
         };
         exchange.m_may_reuse = may_reuse();
-        auto& message = exchange.m_message;
-        message.base() = m_request.m_head;
+        auto& head = exchange.m_head;
+        head = m_request.m_head;
+        exchange.m_body = m_request.m_body;
         bool const had_length =
             m_request.m_head.count(http::field::content_length) > 0 ||
             m_request.m_head.count(http::field::transfer_encoding) > 0;
-        remove_hop_by_hop_fields(message);
-        message.version(http_1_1);
+        remove_hop_by_hop_fields(head);
+        head.version(http_1_1);
         auto const& names = m_state.m_header_names;
-        message.erase(names.m_caller_key);
-        message.erase(names.m_account);
+        head.erase(names.m_caller_key);
+        head.erase(names.m_account);
         if (!m_request.m_account.empty())
         {
-            message.set(names.m_account, m_request.m_account);
+            head.set(names.m_account, m_request.m_account);
         }
-        message.set(names.m_target_upstream, target.m_upstream.m_id);
+        head.set(names.m_target_upstream, target.m_upstream.m_id);
         auto const remaining = std::chrono::floor<std::chrono::milliseconds>(
             m_request.m_deadline - runtime_clock::now());
-        message.set(
-            names.m_deadline_remaining, std::to_string(remaining.count()));
-        message.body() = m_request.m_body;
+        head.set(names.m_deadline_remaining, std::to_string(remaining.count()));
         if (had_length)
         {
-            message.content_length(message.body().size());
+            head.set(
+                http::field::content_length,
+                std::to_string(m_request.m_body->size()));
         }
         return exchange;
     }
--- a/src/edge_filters.cpp
+++ b/src/edge_filters.cpp
@@ -1,6 +1,6 @@
 #include "edge_filters.hpp"
 
-#include "caller_key.hpp"
+#include "content_digest.hpp"
 #include "http_fields.hpp"
 #include "parse_number.hpp"
 
@@ -186,9 +186,12 @@
 std::optional<refusal>
 run(suspect_filter, edge_state& state, edge_request& request)
 {
-    request.m_digest = sha256_hex(
+    sha256_hasher hasher;
+    hasher.update(
         request.m_account + '\n' + std::string{request.m_head.method_string()} +
-        '\n' + std::string{request.m_head.target()} + '\n' + request.m_body);
+        '\n' + std::string{request.m_head.target()} + '\n');
+    hasher.update(*request.m_body);
+    request.m_digest = hasher.hex();
     if (state.m_suspects.is_refused(request.m_received, request.m_digest))
     {
         return refuse(result_code::suspect_request_refused);
--- a/src/edge_request.hpp
+++ b/src/edge_request.hpp
@@ -26,9 +26,12 @@
 struct edge_request
 {
     boost::beast::http::request_header<> m_head;
-    std::string m_body;
-    std::string m_id;        ///< request ID sent by the caller
-    time_point m_received{}; ///< when the request was fully read
+    /// Never null. Shared with writes to upstreams, which need no copy.
+    std::shared_ptr<std::string const> m_body =
+        std::make_shared<std::string const>();
+    buffer_reservation m_body_buffer; ///< space of the body
+    std::string m_id;                 ///< request ID sent by the caller
+    time_point m_received{};          ///< when the request was fully read
     disconnect_monitor* m_caller = nullptr;
     /// Space of the response body until it is written to the caller.
     buffer_reservation m_response_buffer;
--- a/src/edge_session.cpp
+++ b/src/edge_session.cpp
@@ -49,6 +49,10 @@
 /// The timeout for a body is this many times that for a head.
 constexpr int body_timeout_factor = 10;
 
+/// Retry-After of a request whose body finds no buffer space. The bodies that
+/// use the space are on their way to upstreams.
+constexpr duration overloaded_retry_after = std::chrono::seconds{1};
+
 /// Unread input is discarded for this long after the last response. Closing
 /// immediately would reset the connection, and the caller could lose the
 /// response.
@@ -72,6 +76,14 @@
     return policy ? policy->policy().m_limits : caller_limits{};
 }
 
+/// Reserves space for a body. Each connection may hold one chunk without, so
+/// requests with short bodies are not affected by long ones.
+bool reserve_body(buffer_reservation& buffer, std::uint64_t size)
+{
+    return size <= read_chunk_bytes ||
+           buffer.resize(static_cast<std::size_t>(size));
+}
+
 /// Counts a request as active during its lifetime.
 class active_request_scope
 {
@@ -176,8 +188,12 @@
         {
             m_keep_alive = false;
             edge_request empty_request;
-            co_await send_reply(
-                empty_request, refusal{*failure->m_code, std::nullopt});
+            refusal reason{*failure->m_code, std::nullopt};
+            if (reason.m_code == result_code::overloaded)
+            {
+                reason.m_retry_after = overloaded_retry_after;
+            }
+            co_await send_reply(empty_request, std::move(reason));
         }
         co_return false;
     }
@@ -284,7 +300,8 @@
         co_return read_failure{code};
     }
     start_timeout(limits.m_header_timeout * body_timeout_factor);
-    auto const body_error = co_await read_body(parser);
+    buffer_reservation body_buffer{m_state->m_buffers};
+    auto const body_error = co_await read_body(parser, body_buffer);
     cancel_timeout();
     if (body_error)
     {
@@ -294,7 +311,9 @@
     m_keep_alive = parser.get().keep_alive();
     edge_request request;
     request.m_head = parser.get().base();
-    request.m_body = std::move(parser.get().body());
+    request.m_body =
+        std::make_shared<std::string const>(std::move(parser.get().body()));
+    request.m_body_buffer = std::move(body_buffer);
     request.m_id =
         to_view(request.m_head[m_state->m_header_names.m_request_id]);
     request.m_received = runtime_clock::now();
@@ -304,9 +323,13 @@
 /// Returns nullopt when the body is complete and `ok` when the caller
 /// disconnected.
 asio::awaitable<std::optional<result_code>>
-edge_session::read_body(request_parser& parser)
+edge_session::read_body(request_parser& parser, buffer_reservation& buffer)
 {
     parser.eager(true);
+    if (!reserve_body(buffer, parser.content_length().value_or(0)))
+    {
+        co_return result_code::overloaded;
+    }
     bool const expects_continue =
         !parser.get()[http::field::expect].empty() && !parser.is_done();
     if (expects_continue && m_input.empty())
@@ -323,6 +346,10 @@
         {
             co_return parse_error_code(error);
         }
+        if (!reserve_body(buffer, parser.get().body().capacity()))
+        {
+            co_return result_code::overloaded;
+        }
         if (parser.is_done())
         {
             break;
--- a/src/edge_state.cpp
+++ b/src/edge_state.cpp
@@ -14,8 +14,8 @@
 /// Weight of a new response in the moving average of a route's response size.
 constexpr double response_size_smoothing = 0.2;
 
-/// One in this many bytes of the process's memory may hold response bodies.
-constexpr std::size_t buffer_share = 4;
+/// One in this many bytes of the process's memory may hold message bodies.
+constexpr std::size_t buffer_share = 2;
 
 } // namespace
 
--- a/src/edge_state.hpp
+++ b/src/edge_state.hpp
@@ -108,7 +108,7 @@
     std::map<service_name, return_schedule> m_returns; ///< of refused callers
     replicas_freshness m_freshness;
     connection_pool m_pool;
-    buffer_budget m_buffers; ///< of response bodies
+    buffer_budget m_buffers; ///< of request and response bodies
     upstream_exchange m_exchanges;
 
     /// Called when there are state updates to gossip to the peers.
--- a/src/gossip_service.cpp
+++ b/src/gossip_service.cpp
@@ -421,7 +421,7 @@
         m_state->m_metrics.get_gauge("briarhub_upstreams_closed")
             .set(static_cast<double>(
                 m_state->m_load_balancer.closed_upstreams(now)));
-        m_state->m_metrics.get_gauge("briarhub_buffered_response_bytes")
+        m_state->m_metrics.get_gauge("briarhub_buffered_body_bytes")
             .set(static_cast<double>(m_state->m_buffers.reserved()));
         save_health_snapshot(now);
         auto message = make_message();
--- a/src/upstream_exchange.cpp
+++ b/src/upstream_exchange.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
@@ -99,7 +100,8 @@
     }
 
     upstream_connection_ptr m_connection;
-    http::request<http::string_body> m_message;
+    std::shared_ptr<std::string const> m_body;
+    http::request<http::span_body<char const>> m_message;
     timer m_timer;
     bool m_is_request_written = false;
     bool m_has_write_failed = false;
@@ -128,7 +130,10 @@
           m_stream(stream), m_state(std::move(state))
     {
         m_result.m_buffer = buffer_reservation{buffers};
-        m_state->m_message = std::move(m_request.m_message);
+        m_state->m_body = std::move(m_request.m_body);
+        m_state->m_message.base() = std::move(m_request.m_head);
+        m_state->m_message.body() = {
+            m_state->m_body->data(), m_state->m_body->size()};
         m_is_head_request = m_state->m_message.method() == http::verb::head;
     }
 
--- a/src/upstream_exchange.hpp
+++ b/src/upstream_exchange.hpp
@@ -14,7 +14,6 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -56,7 +55,9 @@
 
 struct exchange_request
 {
-    boost::beast::http::request<boost::beast::http::string_body> m_message;
+    boost::beast::http::request_header<> m_head;
+    /// Shared with the write, which can outlast the exchange; never null.
+    std::shared_ptr<std::string const> m_body;
     std::string m_request_id;
     endpoint_address m_address;
     time_point m_deadline{};
--- a/tests/edge/edge_test.py
+++ b/tests/edge/edge_test.py
@@ -579,6 +579,47 @@
     return first, last, ended - started
 
 
+async def test_memory_of_many_long_requests():
+    """Request bodies that are each within the limit of one body together exhaust
+    the memory of a VM, and all of its callers lose their requests."""
+    memory_mb = 260
+    resources = default_resources()
+    resources[-1]["spec"]["max_body_bytes"] = 64 << 20
+    async with Fleet(vms=1, upstreams=4) as fleet:
+        await fleet.configure(resources)
+        vm = fleet.vms[0]
+        vm.write_settings(limits={"max_fds": 4100, "memory_mb": memory_mb})
+        await vm.kill()
+        vm.start()
+        await fleet.wait_until(vm.is_ready)
+        await asyncio.sleep(1.0)
+        callers = [vm.caller() for _ in range(5)]
+        long_bodies = [
+            callers[number].request(
+                f"long-{number}", "/write/x", method="POST",
+                body=b"%d" % number * 60_000_000, remaining_ms=8000)
+            for number in range(4)]
+        results = asyncio.gather(*long_bodies)
+        short = []
+        while not results.done():
+            number = len(short)
+            response = await callers[4].request(
+                f"short-{number}", "/write/x", method="POST", body=b"%d" % number)
+            short.append(response.status)
+        statuses = [response.status for response in await results]
+        peak_mb = peak_memory_kib(vm) / 1024
+        check(vm.process.poll() is None, "the process exited")
+        check(peak_mb < memory_mb, f"the process took {peak_mb:.0f} MiB")
+        check(set(short) == {200}, f"short requests: {short}")
+        check(200 in statuses, f"long requests: {statuses}")
+        ran = {run[1] for upstream in fleet.upstreams for run in upstream.runs}
+        refused = {f"long-{number}" for number, status in enumerate(statuses)
+                   if status == 503}
+        check(not ran & refused, f"refused and run: {ran & refused}")
+        for caller in callers:
+            caller.close()
+
+
 class EarlyUpstream(Upstream):
     """Begins a response without a length before it reads a long body, and resets
     the connection in the middle of the response."""
