Do not reserve more for a response than its buffer limit

A string that doubled its capacity past the limit of 2 MiB took up to 4 MiB of the budget. edge_test: the three tests of long and endless responses pass.

--- a/src/upstream_exchange.cpp
+++ b/src/upstream_exchange.cpp
@@ -356,21 +356,26 @@
     {
         auto& body = m_result.m_body;
         auto const size = body.size() + data.size();
+        auto const limit = m_request.m_max_buffered_bytes;
+        if (size > limit)
+        {
+            return false;
+        }
         // A string that is too small doubles its capacity.
-        auto const capacity = size <= body.capacity()
-                                  ? body.capacity()
-                                  : std::max(size, 2 * body.capacity());
+        auto const capacity =
+            size <= body.capacity()
+                ? body.capacity()
+                : std::max(size, std::min(2 * body.capacity(), limit));
         // Short responses are buffered in any case, so that they can be
         // retried.
         auto const reserved = capacity - std::min(capacity, read_chunk_bytes);
-        bool const has_space = size <= m_request.m_max_buffered_bytes &&
-                               m_result.m_buffer.resize(reserved);
-        if (has_space)
+        if (!m_result.m_buffer.resize(reserved))
         {
-            body.reserve(capacity);
-            body += data;
+            return false;
         }
-        return has_space;
+        body.reserve(capacity);
+        body += data;
+        return true;
     }
 
     asio::awaitable<bool>
