--- a/src/edge_session.cpp
+++ b/src/edge_session.cpp
@@ -193,7 +193,7 @@
             {
                 reason.m_retry_after = overloaded_retry_after;
             }
-            co_await send_reply(empty_request, std::move(reason));
+            co_await send_reply(empty_request, reason);
         }
         co_return false;
     }
--- a/tests/edge/edge_test.py
+++ b/tests/edge/edge_test.py
@@ -587,11 +587,7 @@
     resources[-1]["spec"]["max_body_bytes"] = 64 << 20
     async with Fleet(vms=1, upstreams=4) as fleet:
         await fleet.configure(resources)
-        vm = fleet.vms[0]
-        vm.write_settings(limits={"max_fds": 4100, "memory_mb": memory_mb})
-        await vm.kill()
-        vm.start()
-        await fleet.wait_until(vm.is_ready)
+        vm = await restart_with_memory(fleet, memory_mb)
         await asyncio.sleep(1.0)
         callers = [vm.caller() for _ in range(5)]
         long_bodies = [
@@ -705,6 +701,16 @@
             check(vm.process.poll() is None, "the process exited")
 
 
+async def restart_with_memory(fleet, memory_mb):
+    """Restarts the fleet's VM with a memory limit in its settings; returns it."""
+    vm = fleet.vms[0]
+    vm.write_settings(limits={"max_fds": 4100, "memory_mb": memory_mb})
+    await vm.kill()
+    vm.start()
+    await fleet.wait_until(vm.is_ready)
+    return vm
+
+
 async def hold_responses(vm, count, prefix):
     """Sends requests on connections of their own and reads no responses; returns
     the callers."""
@@ -724,11 +730,7 @@
     for fault in ("endless_body", "endless_failure", "endless_chunk_size", "large"):
         async with Fleet(vms=1, upstreams=8) as fleet:
             await fleet.configure(resources)
-            vm = fleet.vms[0]
-            vm.write_settings(limits={"max_fds": 4100, "memory_mb": memory_mb})
-            await vm.kill()
-            vm.start()
-            await fleet.wait_until(vm.is_ready)
+            vm = await restart_with_memory(fleet, memory_mb)
             for upstream in fleet.upstreams:
                 upstream.slots = 100
                 await upstream.register()
