--- a/src/fleet_store.hpp
+++ b/src/fleet_store.hpp
@@ -41,6 +41,7 @@
 struct store_page
 {
     std::vector<store_record> m_records;
+    store_era m_era = 0;  ///< of all offsets of the page
     log_offset m_end = 0; ///< where the next read begins
     /// False if the log had further records that the response does not include.
     bool m_reaches_log_end = true;
--- a/src/types.hpp
+++ b/src/types.hpp
@@ -6,6 +6,7 @@
 
 #include "clock.hpp"
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -33,6 +34,19 @@
 /// Position of a record in a stream of the platform's log.
 using log_offset = std::uint64_t;
 
+/// Rises by one each time the platform's log returns from an older copy and
+/// hands out offsets again.
+using store_era = std::uint64_t;
+
+/// Position in the platform's log that also orders records of different eras.
+struct log_position
+{
+    store_era m_era = 0;
+    log_offset m_offset = 0;
+
+    friend auto operator<=>(log_position const&, log_position const&) = default;
+};
+
 /// Identifies a request inside one entry process.
 using request_ticket = std::uint64_t;
 
