--- a/src/fleet_store.hpp
+++ b/src/fleet_store.hpp
@@ -52,7 +52,8 @@
     unreachable,  ///< no connection or no response in time
     refused,      ///< error response; the request had no effect
     history_gone, ///< the requested records were deleted
-    malformed     ///< the response cannot be parsed
+    malformed,    ///< the response cannot be parsed
+    outdated_era  ///< the response is of an older era than an earlier one
 };
 
 std::string_view to_string(store_failure failure) noexcept;
@@ -70,8 +71,12 @@
 public:
     virtual ~fleet_store() = default;
 
-    /// Reads the newest record of each key. A `read` from `m_end` on continues
-    /// without a gap.
+    /// The highest era of all responses so far, also of those to writes and of
+    /// error responses; nullopt before the first response.
+    [[nodiscard]] virtual std::optional<store_era> era() const = 0;
+
+    /// Reads the newest record of each key, all of one era. A `read` from
+    /// `m_end` on continues without a gap, unless the era has changed.
     virtual boost::asio::awaitable<store_result>
     read_latest(store_topic topic) = 0;
 
--- a/src/gossip_message.cpp
+++ b/src/gossip_message.cpp
@@ -279,7 +279,9 @@
     to.set_sequence(message.m_sequence);
     to.set_pass_on(message.m_relay);
     to.set_policy_version(message.m_state.m_policy_version);
-    to.set_directory_change(message.m_state.m_directory_offset);
+    auto const& position = message.m_state.m_directory_position;
+    to.set_directory_change(position.m_offset);
+    to.set_directory_era(position.m_era);
     to.set_is_following(message.m_state.m_is_store_reader);
     to.set_has_store(message.m_state.m_reaches_store);
     write_ages(to, message.m_replica_ages);
@@ -304,7 +306,8 @@
     message.m_sequence = from.sequence();
     message.m_relay = from.pass_on();
     message.m_state.m_policy_version = from.policy_version();
-    message.m_state.m_directory_offset = from.directory_change();
+    message.m_state.m_directory_position = {
+        from.directory_era(), from.directory_change()};
     message.m_state.m_is_store_reader = from.is_following();
     message.m_state.m_reaches_store = from.has_store();
     message.m_replica_ages = read_ages(from);
--- a/src/gossip_message.hpp
+++ b/src/gossip_message.hpp
@@ -35,7 +35,7 @@
 struct replica_status
 {
     config_version m_policy_version = 0;
-    log_offset m_directory_offset = 0; ///< last known change
+    log_position m_directory_position; ///< last known change
     bool m_is_store_reader = false;    ///< reads the directory from the store
     bool m_reaches_store = false;
 
--- a/src/gossip_service.cpp
+++ b/src/gossip_service.cpp
@@ -270,7 +270,7 @@
     bool const is_ahead =
         state.m_policy_version > m_status.m_state.m_policy_version ||
         (state.m_is_store_reader &&
-         state.m_directory_offset > m_status.m_state.m_directory_offset);
+         state.m_directory_position > m_status.m_state.m_directory_position);
     if (is_ahead && now - m_newer_reported_at >= newer_peer_interval)
     {
         m_newer_reported_at = now;
@@ -295,7 +295,7 @@
     if (ages.m_directory)
     {
         freshness.m_directory.confirm(
-            state.m_directory_offset, now - *ages.m_directory);
+            state.m_directory_position, now - *ages.m_directory);
     }
 }
 
@@ -569,12 +569,12 @@
     auto const& state = update.m_state;
     bool const is_new_version =
         state.m_policy_version != m_status.m_state.m_policy_version ||
-        state.m_directory_offset != m_status.m_state.m_directory_offset;
+        state.m_directory_position != m_status.m_state.m_directory_position;
     m_status = update;
     bool const was_fresh = runtime_clock::now() < freshness_expiry();
     auto& freshness = m_state->m_freshness;
     freshness.m_policy.set_version(state.m_policy_version);
-    freshness.m_directory.set_version(state.m_directory_offset);
+    freshness.m_directory.set_version(state.m_directory_position);
     if (update.m_policy_read_at)
     {
         freshness.m_policy.confirm(
@@ -583,7 +583,7 @@
     if (update.m_directory_read_at)
     {
         freshness.m_directory.confirm(
-            state.m_directory_offset, *update.m_directory_read_at);
+            state.m_directory_position, *update.m_directory_read_at);
     }
     // The state of the peers is probably as old as this VM's was.
     auto const now = runtime_clock::now();
@@ -664,8 +664,7 @@
 
 void gossip_service::record_replica_ages(time_point now)
 {
-    auto const record =
-        [&](std::string_view replica, replica_freshness const& freshness)
+    auto const record = [&](std::string_view replica, auto const& freshness)
     {
         auto const age = freshness.age(now);
         if (age)
--- a/src/replica_freshness.hpp
+++ b/src/replica_freshness.hpp
@@ -6,23 +6,25 @@
 /// Performs no I/O and takes the time as an argument.
 
 #include "clock.hpp"
+#include "types.hpp"
 
-#include <cstdint>
 #include <optional>
 
 namespace briarhub
 {
 
+/// `Version` is ordered; its default value stands for no version.
+template <class Version = config_version>
 class replica_freshness
 {
 public:
     /// Sets the version of this VM's replica.
-    void set_version(std::uint64_t version);
+    void set_version(Version version);
 
     /// `version` was the newest one in the store as of a time, so any later
     /// version is at least as new. What is known of a version that this VM does
     /// not have yet counts once it has it.
-    void confirm(std::uint64_t version, time_point as_of);
+    void confirm(Version version, time_point as_of);
 
     /// Time since the replica was last known to be the newest version; nullopt
     /// if that was never known.
@@ -39,13 +41,16 @@
     }
 
 private:
-    std::uint64_t m_version = 0;
+    Version m_version{};
     std::optional<time_point> m_confirmed;
-    std::uint64_t m_newer_version = 0; ///< newest version known of peers
+    Version m_newer_version{}; ///< newest version known of peers
     time_point m_newer_confirmed{};
     std::optional<time_point> m_last_confirmation;
 };
 
+extern template class replica_freshness<config_version>;
+extern template class replica_freshness<log_position>;
+
 /// Freshness of the state that this VM replicates.
 struct replicas_freshness
 {
@@ -54,8 +59,8 @@
     [[nodiscard]] std::optional<time_point>
     unread_since(time_point now, duration min_length) const;
 
-    replica_freshness m_policy;
-    replica_freshness m_directory;
+    replica_freshness<config_version> m_policy;
+    replica_freshness<log_position> m_directory;
 };
 
 } // namespace briarhub
--- a/src/state_sync.cpp
+++ b/src/state_sync.cpp
@@ -3,6 +3,7 @@
 #include "compression.hpp"
 #include "gossip.pb.h"
 #include "parse_number.hpp"
+#include "random_seed.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -75,6 +76,17 @@
     return read_at && now - *read_at < max_missed_intervals * interval;
 }
 
+boost::json::value to_json(log_position position)
+{
+    return boost::json::object{
+        {"era", position.m_era}, {"offset", position.m_offset}};
+}
+
+boost::json::value to_json(std::optional<log_position> position)
+{
+    return position ? to_json(*position) : boost::json::value{};
+}
+
 /// Time as of which the page of a read is current. A read without a result was
 /// answered after its wait.
 time_point read_time(time_point sent, milliseconds wait, store_page const& page)
@@ -83,6 +95,14 @@
                                   : sent;
 }
 
+/// A VM that registered this long before the store returned from an older copy
+/// may be missing there. Far above the age of a copy.
+constexpr std::chrono::seconds max_copy_age{60};
+
+/// Upper bound of the random delay of that registration, which spreads those of
+/// VMs that started together.
+constexpr milliseconds max_registration_delay{2000};
+
 /// Interval of fetches from the seeds while no state is known.
 constexpr milliseconds seed_interval{400};
 
@@ -120,7 +140,8 @@
                   "upstream_entry_rejected",
                   {{"key", key}, {"reason", reason}});
           }),
-      m_policy_timer(io), m_upstreams_timer(io), m_removal_timer(io)
+      m_random(random_seed()), m_policy_timer(io), m_upstreams_timer(io),
+      m_removal_timer(io)
 {
 }
 
@@ -184,22 +205,47 @@
     {
         is_registered = co_await read_members();
     }
-    while (!is_registered && !m_is_stopped)
+    if (!is_registered)
+    {
+        co_await register_vm();
+        co_await read_members();
+    }
+    else
+    {
+        // An earlier run of the process may have registered a short time ago.
+        m_registered_at = runtime_clock::now();
+    }
+}
+
+/// Registers this VM in the store; returns when the store confirms it.
+asio::awaitable<void> state_sync::register_vm()
+{
+    while (!m_is_stopped)
     {
         auto const sent = runtime_clock::now();
         auto const failure = co_await m_store.put(
             store_topic::fleet, m_options.m_ip, m_options.m_failure_domain);
+        record_store_era();
         if (!failure)
         {
+            m_registered_at = runtime_clock::now();
             break;
         }
         record_store_failure(sent, "announce", *failure);
         co_await pause(retry_delay());
     }
-    if (!is_registered)
-    {
-        co_await read_members();
-    }
+}
+
+/// Registers this VM again in a store that returned from an older copy.
+asio::awaitable<void> state_sync::register_again()
+{
+    std::uniform_int_distribution<milliseconds::rep> delay_ms{
+        0, max_registration_delay.count()};
+    milliseconds const delay{delay_ms(m_random)};
+    co_await pause(delay);
+    co_await register_vm();
+    m_metrics.get_counter("briarhub_repeated_registrations_total").add();
+    m_events.write("registered_again", {{"delay_ms", delay.count()}});
 }
 
 /// True if this VM is registered. A failed read is not retried: peers that know
@@ -208,6 +254,7 @@
 {
     auto const sent = runtime_clock::now();
     auto const result = co_await m_store.read_latest(store_topic::fleet);
+    record_store_era();
     if (auto const* failure = std::get_if<store_failure>(&result))
     {
         record_store_failure(sent, "fleet", *failure);
@@ -280,6 +327,7 @@
     auto const failure = co_await m_store.put(
         store_topic::fleet, std::string{health_snapshot_key}, std::move(text));
     m_is_writing_snapshot = false;
+    record_store_era();
     if (failure)
     {
         record_store_failure(sent, "beliefs", *failure);
@@ -298,35 +346,25 @@
 
 asio::awaitable<bool> state_sync::read_policy_once()
 {
-    // GCC 12 miscompiles a co_await inside a conditional expression.
-    store_result result;
-    milliseconds wait{0};
     auto const sent = runtime_clock::now();
     auto const usual_wait =
         m_options.m_policy_update_limit / waits_per_policy_bound;
-    if (m_policy_offset && is_recent(m_policy_read_at, sent, usual_wait))
-    {
-        wait = usual_wait;
-        result =
-            co_await m_store.read(store_topic::policy, *m_policy_offset, wait);
-    }
-    else
+    // GCC 12 miscompiles a conditional expression inside a co_await.
+    std::optional<log_position> from;
+    if (is_recent(m_policy_read_at, sent, usual_wait))
     {
-        result = co_await m_store.read_latest(store_topic::policy);
+        from = m_policy_position;
     }
-    if (auto const* failure = std::get_if<store_failure>(&result))
+    auto const read =
+        co_await read_topic(store_topic::policy, from, usual_wait);
+    if (auto const* failure = std::get_if<store_failure>(&read.m_result))
     {
-        if (*failure == store_failure::history_gone)
-        {
-            m_policy_offset.reset();
-            co_return true;
-        }
         record_store_failure(sent, "policy", *failure);
         co_return false;
     }
     record_store_success(runtime_clock::now());
-    auto const& page = std::get<store_page>(result);
-    m_policy_offset = page.m_end;
+    auto const& page = std::get<store_page>(read.m_result);
+    m_policy_position = {page.m_era, page.m_end};
     for (auto const& record : page.m_records)
     {
         if (record.m_value)
@@ -336,6 +374,7 @@
     }
     if (page.m_reaches_log_end)
     {
+        auto const wait = read.m_is_latest ? milliseconds{0} : usual_wait;
         m_policy_read_at = read_time(sent, wait, page);
         m_has_unpublished_read = true;
     }
@@ -343,6 +382,38 @@
     co_return true;
 }
 
+/// Reads a topic from a position on, or the newest records if there is none, if
+/// it is of an earlier era, or if its history is gone.
+asio::awaitable<state_sync::topic_read> state_sync::read_topic(
+    store_topic topic, std::optional<log_position> from, milliseconds wait)
+{
+    bool const is_current = from && m_store.era() == from->m_era;
+    if (is_current)
+    {
+        auto result = co_await m_store.read(topic, from->m_offset, wait);
+        record_store_era();
+        auto const* page = std::get_if<store_page>(&result);
+        auto const* failure = std::get_if<store_failure>(&result);
+        bool const is_same_era = page != nullptr && page->m_era == m_era &&
+                                 page->m_era == from->m_era;
+        bool const is_gone =
+            failure != nullptr && *failure == store_failure::history_gone;
+        if (is_same_era || (failure != nullptr && !is_gone))
+        {
+            co_return topic_read{std::move(result), false};
+        }
+    }
+    auto latest = co_await m_store.read_latest(topic);
+    record_store_era();
+    // A peer can know of a return of the store before this VM's calls do.
+    auto const* page = std::get_if<store_page>(&latest);
+    if (page != nullptr && page->m_era < m_era)
+    {
+        latest = store_failure::outdated_era;
+    }
+    co_return topic_read{std::move(latest), true};
+}
+
 /// Adopts a policy that is newer than the current one. `source` is the store or
 /// a peer's address, for the log.
 void state_sync::apply_policy(
@@ -387,50 +458,31 @@
 
 asio::awaitable<bool> state_sync::read_upstreams_once()
 {
-    store_result result;
     auto const sent = runtime_clock::now();
-    bool const is_first = m_directory.last_change() == 0;
-    bool const is_snapshot =
-        !m_upstreams_offset ||
-        !is_recent(m_directory_read_at, sent, upstreams_interval());
-    if (is_snapshot)
+    bool const is_first = m_directory.last_change() == log_position{};
+    std::optional<log_position> from;
+    if (is_recent(m_directory_read_at, sent, upstreams_interval()))
     {
-        result = co_await m_store.read_latest(store_topic::upstreams);
-    }
-    else
-    {
-        result = co_await m_store.read(
-            store_topic::upstreams, *m_upstreams_offset, milliseconds{0});
+        from = m_upstreams_position;
     }
+    auto const read =
+        co_await read_topic(store_topic::upstreams, from, milliseconds{0});
     auto const now = runtime_clock::now();
-    if (auto const* failure = std::get_if<store_failure>(&result))
+    if (auto const* failure = std::get_if<store_failure>(&read.m_result))
     {
-        if (*failure == store_failure::history_gone)
-        {
-            auto const all =
-                co_await m_store.read_latest(store_topic::upstreams);
-            if (auto const* page = std::get_if<store_page>(&all))
-            {
-                record_store_success(now);
-                m_upstreams_offset = page->m_end;
-                m_directory_read_at = sent;
-                publish_read(m_directory.apply_snapshot(
-                    now, page->m_records, page->m_end));
-                co_return true;
-            }
-        }
         record_store_failure(sent, "upstreams", *failure);
         m_status.m_is_store_reader = false;
         publish_status();
         co_return false;
     }
     record_store_success(now);
-    auto const& page = std::get<store_page>(result);
-    m_upstreams_offset = std::max(page.m_end, m_upstreams_offset.value_or(0));
-    bool is_changed =
-        is_snapshot
-            ? m_directory.apply_snapshot(now, page.m_records, page.m_end)
-            : m_directory.apply(now, page.m_records);
+    auto const& page = std::get<store_page>(read.m_result);
+    log_position const end{page.m_era, page.m_end};
+    m_upstreams_position = std::max(end, m_upstreams_position.value_or(end));
+    bool const is_changed =
+        read.m_is_latest ? m_directory.apply_snapshot(now, page.m_records, end)
+                         : m_directory.apply(now, page.m_era, page.m_records);
+    record_directory_era();
     if (page.m_reaches_log_end)
     {
         m_directory_read_at = sent;
@@ -461,10 +513,11 @@
         auto usable = m_directory.usable();
         m_events.write(
             "upstreams",
-            {{"usable", usable.size()}, {"offset", m_directory.last_change()}});
+            {{"usable", usable.size()},
+             {"position", to_json(m_directory.last_change())}});
         m_on_event(upstreams_event{std::move(usable)});
     }
-    m_status.m_directory_offset = m_directory.last_change();
+    m_status.m_directory_position = m_directory.last_change();
     schedule_removals();
     publish_status();
 }
@@ -491,6 +544,69 @@
         });
 }
 
+/// Called after each call to the store.
+void state_sync::record_store_era()
+{
+    if (auto const era = m_store.era())
+    {
+        set_era(*era, "store");
+    }
+}
+
+/// `source` is the store or a peer's address, for the log. Read positions of
+/// earlier eras stay unused, see `read_topic`.
+void state_sync::set_era(store_era era, std::string_view source)
+{
+    if (era <= m_era)
+    {
+        return;
+    }
+    auto const previous = std::exchange(m_era, era);
+    m_metrics.get_gauge("briarhub_store_era").set(static_cast<double>(era));
+    if (!previous)
+    {
+        return;
+    }
+    m_metrics.get_counter("briarhub_store_era_changes_total").add();
+    m_events.write(
+        "store_era",
+        {{"era", era},
+         {"previous", *previous},
+         {"source", source},
+         {"policy_version", m_status.m_policy_version},
+         {"dropped_policy_read", to_json(m_policy_position)},
+         {"dropped_upstreams_read", to_json(m_upstreams_position)},
+         {"directory", to_json(m_directory.last_change())}});
+    bool const may_be_missing =
+        m_registered_at &&
+        runtime_clock::now() - *m_registered_at < max_copy_age;
+    if (may_be_missing)
+    {
+        m_registered_at.reset();
+        asio::co_spawn(m_io, register_again(), asio::detached);
+        asio::co_spawn(m_io, fetch_lost(), asio::detached);
+    }
+}
+
+/// Logs the first directory of a later era.
+void state_sync::record_directory_era()
+{
+    auto const& change = m_directory.last_era_change();
+    if (!change || change->m_after.m_era <= m_directory_era)
+    {
+        return;
+    }
+    m_directory_era = change->m_after.m_era;
+    m_metrics.get_counter("briarhub_outdated_upstream_entries_total")
+        .add(change->m_outdated);
+    m_events.write(
+        "directory_era",
+        {{"before", to_json(change->m_before)},
+         {"after", to_json(change->m_after)},
+         {"missing", change->m_missing},
+         {"outdated", change->m_outdated}});
+}
+
 void state_sync::record_store_success(time_point now)
 {
     if (m_failing_since)
@@ -563,24 +679,54 @@
 asio::awaitable<void> state_sync::fetch_from_seeds()
 {
     co_await pause(seed_interval);
-    while (!m_is_stopped &&
-           (m_status.m_policy_version == 0 || m_directory.last_change() == 0))
+    while (!m_is_stopped && (m_status.m_policy_version == 0 ||
+                             m_directory.last_change() == log_position{}))
     {
         for (auto const& seed : m_options.m_seeds)
         {
             if (seed != m_options.m_peer_listen)
             {
-                asio::co_spawn(m_io, fetch_state(seed, true), asio::detached);
+                asio::co_spawn(
+                    m_io,
+                    fetch_state(seed, directory_request::changes),
+                    asio::detached);
             }
         }
         co_await pause(seed_interval);
     }
+    if (m_era > store_era{0})
+    {
+        co_await fetch_lost();
+    }
+}
+
+/// An older copy of the store has entries of upstreams that left or changed
+/// since. A VM that started after the copy was made learns of it from a peer.
+asio::awaitable<void> state_sync::fetch_lost()
+{
+    if (std::exchange(m_is_fetching_lost, true))
+    {
+        co_return;
+    }
+    auto peers = m_options.m_seeds;
+    std::erase(peers, m_options.m_peer_listen);
+    std::ranges::shuffle(peers, m_random);
+    for (auto const& peer : peers)
+    {
+        bool const is_fetched =
+            co_await fetch_state(peer, directory_request::whole);
+        if (is_fetched)
+        {
+            break;
+        }
+    }
+    m_is_fetching_lost = false;
 }
 
 bool state_sync::is_behind(replica_status const& other) const
 {
     return other.m_policy_version > m_status.m_policy_version ||
-           other.m_directory_offset > m_directory.last_change();
+           other.m_directory_position > m_directory.last_change();
 }
 
 /// A VM that started or became a reader a short time ago may have to send its
@@ -588,8 +734,8 @@
 bool state_sync::wants_directory_of(replica_status const& other) const
 {
     auto const known = m_directory.last_change();
-    return known == 0 ||
-           (other.m_is_store_reader && other.m_directory_offset > known);
+    return known == log_position{} ||
+           (other.m_is_store_reader && other.m_directory_position > known);
 }
 
 void state_sync::handle_newer_peer(newer_peer const& peer)
@@ -613,10 +759,13 @@
     auto const own = split_endpoint(m_options.m_peer_listen);
     if (own && is_behind(peer.m_state))
     {
+        auto const wanted = wants_directory_of(peer.m_state)
+                                ? directory_request::changes
+                                : directory_request::none;
         bool const is_successful = co_await fetch_state(
             asio::ip::address_v4{peer.m_vm}.to_string() + ':' +
                 std::to_string(own->m_port),
-            wants_directory_of(peer.m_state));
+            wanted);
         record_fetch_result(is_successful);
     }
     --m_running_fetches;
@@ -639,13 +788,19 @@
 
 /// False if the peer did not reply with state.
 asio::awaitable<bool>
-state_sync::fetch_state(endpoint_address peer, bool wants_directory)
+state_sync::fetch_state(endpoint_address peer, directory_request wanted)
 {
     auto const sent = runtime_clock::now();
+    log_position known;
+    if (wanted != directory_request::whole)
+    {
+        known = m_directory.last_change();
+    }
     wire::StateRequest request;
     request.set_policy_version(m_status.m_policy_version);
-    request.set_directory_change(m_directory.last_change());
-    request.set_policy_only(!wants_directory);
+    request.set_directory_change(known.m_offset);
+    request.set_directory_era(known.m_era);
+    request.set_policy_only(wanted == directory_request::none);
     auto const reply = co_await m_client.request(
         peer,
         std::string{state_path},
@@ -699,33 +854,41 @@
     }
     upstream_directory::change_set update;
     update.m_is_snapshot = state.is_whole_directory();
-    update.m_last_change = state.directory_change();
+    update.m_last_change = {state.directory_era(), state.directory_change()};
     for (auto const& record : state.records())
     {
-        std::optional<std::string> value;
-        if (!record.is_removed())
-        {
-            value = record.value();
-        }
         update.m_records.push_back(
-            {record.key(), std::move(value), record.offset()});
+            {record.key(),
+             record.value(),
+             record.is_removed(),
+             {record.era(), record.offset()}});
     }
     auto const known = m_directory.last_change();
-    bool const is_first = known == 0;
+    bool const is_first = known == log_position{};
     if (update.m_last_change > known)
     {
         auto const now = runtime_clock::now();
         record_outage_end(now);
+        set_era(update.m_last_change.m_era, peer);
         bool const is_changed = m_directory.adopt(now, update);
+        record_directory_era();
         m_events.write(
             "upstreams_fetched",
             {{"peer", peer},
              {"whole", update.m_is_snapshot},
              {"records", update.m_records.size()},
-             {"known", known},
-             {"offset", m_directory.last_change()}});
+             {"known", to_json(known)},
+             {"position", to_json(m_directory.last_change())}});
         publish_directory(is_changed || is_first);
     }
+    else if (update.m_is_snapshot)
+    {
+        bool const is_changed =
+            m_directory.adopt_lost(runtime_clock::now(), update);
+        m_events.write(
+            "lost_fetched", {{"peer", peer}, {"changed", is_changed}});
+        publish_directory(is_changed);
+    }
     publish_status();
 }
 
@@ -748,19 +911,22 @@
         reply.set_policy(m_compressed_policy);
         reply.set_policy_size(m_policy_size);
     }
-    auto const known = request.directory_change();
+    log_position const known{
+        request.directory_era(), request.directory_change()};
     if (!request.policy_only() && m_directory.last_change() > known)
     {
         auto const update = m_directory.changes_since(known);
         reply.set_is_whole_directory(update.m_is_snapshot);
-        reply.set_directory_change(update.m_last_change);
+        reply.set_directory_change(update.m_last_change.m_offset);
+        reply.set_directory_era(update.m_last_change.m_era);
         for (auto const& record : update.m_records)
         {
             auto& added = *reply.add_records();
             added.set_key(record.m_key);
-            added.set_value(record.m_value.value_or(std::string{}));
-            added.set_is_removed(!record.m_value);
-            added.set_offset(record.m_offset);
+            added.set_value(record.m_value);
+            added.set_is_removed(record.m_is_removed);
+            added.set_offset(record.m_position.m_offset);
+            added.set_era(record.m_position.m_era);
         }
     }
     return reply.SerializeAsString();
--- a/src/state_sync.hpp
+++ b/src/state_sync.hpp
@@ -18,6 +18,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -97,7 +98,20 @@
     void handle_newer_peer(newer_peer const& peer);
 
 private:
+    /// Result of a read and whether it has the newest record of each key.
+    struct topic_read
+    {
+        store_result m_result;
+        bool m_is_latest = false;
+    };
+
+    boost::asio::awaitable<topic_read> read_topic(
+        store_topic topic,
+        std::optional<log_position> from,
+        std::chrono::milliseconds wait);
     boost::asio::awaitable<void> join_fleet();
+    boost::asio::awaitable<void> register_vm();
+    boost::asio::awaitable<void> register_again();
     boost::asio::awaitable<bool> read_members();
     void apply_health_snapshot(std::string_view value);
     boost::asio::awaitable<void> write_health_snapshot(std::string text);
@@ -106,9 +120,17 @@
     boost::asio::awaitable<bool> read_policy_once();
     boost::asio::awaitable<bool> read_upstreams_once();
     boost::asio::awaitable<void> fetch_from_seeds();
+    boost::asio::awaitable<void> fetch_lost();
     boost::asio::awaitable<void> fetch_newer_state(newer_peer peer);
+    /// What a state request asks for besides a newer policy.
+    enum class directory_request
+    {
+        none,
+        changes, ///< since this VM's last change
+        whole    ///< with all known removals
+    };
     boost::asio::awaitable<bool>
-    fetch_state(endpoint_address peer, bool wants_directory);
+    fetch_state(endpoint_address peer, directory_request wanted);
     void record_fetch_result(bool is_successful);
     boost::asio::awaitable<void> pause(duration length);
     boost::asio::awaitable<void> wait_for_role(timer& alarm);
@@ -126,6 +148,9 @@
     handle_request(std::string_view path, std::string_view message) const;
     [[nodiscard]] bool is_behind(replica_status const& other) const;
     [[nodiscard]] bool wants_directory_of(replica_status const& other) const;
+    void record_store_era();
+    void set_era(store_era era, std::string_view source);
+    void record_directory_era();
     void record_store_success(time_point now);
     void record_outage_end(time_point now);
     void record_store_failure(
@@ -148,8 +173,13 @@
     /// carry few copies of a large configuration.
     std::string m_compressed_policy;
     std::size_t m_policy_size = 0; ///< bytes before compression
-    std::optional<log_offset> m_policy_offset;
-    std::optional<log_offset> m_upstreams_offset;
+    /// Where the next reads begin.
+    std::optional<log_position> m_policy_position;
+    std::optional<log_position> m_upstreams_position;
+    std::optional<store_era> m_era; ///< the highest known
+    store_era m_directory_era = 0;  ///< of the last logged directory
+    std::optional<time_point> m_registered_at;
+    std::mt19937_64 m_random;
     store_reader_role m_role;
     replica_status m_status;
     replica_status m_published_status;
@@ -165,6 +195,7 @@
     std::optional<time_point> m_failing_since;
     unsigned m_consecutive_failures = 0;
     bool m_is_writing_snapshot = false;
+    bool m_is_fetching_lost = false;
     bool m_is_stopped = false;
 };
 
--- a/src/types.hpp
+++ b/src/types.hpp
@@ -44,6 +44,7 @@
     store_era m_era = 0;
     log_offset m_offset = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(log_position const&, log_position const&) = default;
 };
 
--- a/src/upstream_directory.cpp
+++ b/src/upstream_directory.cpp
@@ -27,6 +27,22 @@
            std::pair{a.m_start_time, a.m_sequence};
 }
 
+std::vector<directory_record>
+with_positions(store_era era, std::span<store_record const> records)
+{
+    std::vector<directory_record> list;
+    list.reserve(records.size());
+    for (auto const& record : records)
+    {
+        list.push_back(
+            {record.m_key,
+             record.m_value.value_or(std::string{}),
+             !record.m_value,
+             {era, record.m_offset}});
+    }
+    return list;
+}
+
 } // namespace
 
 std::string_view to_string(store_failure failure) noexcept
@@ -41,6 +57,8 @@
         return "history_gone";
     case store_failure::malformed:
         return "malformed";
+    case store_failure::outdated_era:
+        return "outdated_era";
     }
     return "unknown";
 }
@@ -51,7 +69,15 @@
 }
 
 bool upstream_directory::apply(
-    time_point now, std::span<store_record const> records)
+    time_point now, store_era era, std::span<store_record const> records)
+{
+    bool const is_other_era =
+        m_last_change != log_position{} && era != m_last_change.m_era;
+    return !is_other_era && apply_records(now, with_positions(era, records));
+}
+
+bool upstream_directory::apply_records(
+    time_point now, std::span<directory_record const> records)
 {
     bool is_changed = false;
     for (auto const& record : records)
@@ -62,104 +88,295 @@
 }
 
 bool upstream_directory::apply_record(
-    time_point now, store_record const& record)
+    time_point now, directory_record const& record)
 {
-    if (record.m_value)
-    {
-        return put(record);
-    }
-    return remove(now, record.m_key, record.m_offset);
+    return record.m_is_removed ? remove(now, record) : put(record);
 }
 
-bool upstream_directory::put(store_record const& record)
+bool upstream_directory::put(directory_record const& record)
 {
-    auto const tombstone = m_tombstones.find(record.m_key);
-    if (tombstone != m_tombstones.end() && record.m_offset <= tombstone->second)
+    auto const removed = m_tombstones.find(record.m_key);
+    if (removed != m_tombstones.end() &&
+        record.m_position <= removed->second.m_position)
     {
         return false;
     }
-    auto decoded = m_decode(record.m_key, *record.m_value);
+    auto decoded = m_decode(record.m_key, record.m_value);
     if (auto const* failure = std::get_if<decode_failure>(&decoded))
     {
         m_on_reject(record.m_key, failure->m_reason);
         return false;
     }
     auto& value = std::get<upstream_entry>(decoded);
+    if (is_known_removed(record, value))
+    {
+        ++m_outdated;
+        renew_removal(removed->second, record.m_position);
+        return false;
+    }
     auto const existing = m_entries.find(record.m_key);
-    if (existing == m_entries.end())
+    if (existing != m_entries.end())
     {
-        m_entries[record.m_key] = {
-            std::move(value),
-            *record.m_value,
-            record.m_offset,
-            record.m_offset,
-            std::nullopt,
-            0};
-        m_tombstones.erase(record.m_key);
-        advance_last_change(record.m_offset);
-        return true;
+        return update(existing->second, record, std::move(value));
     }
-    auto& entry = existing->second;
-    auto const known_offset = std::max(entry.m_offset, entry.m_removal_offset);
-    if (record.m_offset >= entry.m_change_offset)
+    if (is_address_reused(record, value))
+    {
+        ++m_outdated;
+        record_removal(
+            record.m_key,
+            {record.m_position,
+             value.m_start_time,
+             value.m_sequence,
+             record.m_value,
+             {}});
+        return false;
+    }
+    add(record, std::move(value));
+    return true;
+}
+
+/// An older copy of the store has entries of upstreams that left since. Such an
+/// entry counts again once the upstream announces itself later than that.
+bool upstream_directory::is_known_removed(
+    directory_record const& record, upstream_entry const& value) const
+{
+    auto const removed = m_tombstones.find(record.m_key);
+    if (removed == m_tombstones.end() ||
+        record.m_position.m_era == removed->second.m_position.m_era)
+    {
+        return false;
+    }
+    return std::pair{value.m_start_time, value.m_sequence} <=
+           std::pair{removed->second.m_start_time, removed->second.m_sequence};
+}
+
+/// True if an upstream of the older copy has an address that a later process is
+/// known to have used before the store returned. Start times of different
+/// machines are compared only there, since their clocks may differ.
+bool upstream_directory::is_address_reused(
+    directory_record const& record, upstream_entry const& value) const
+{
+    if (m_tombstones.contains(record.m_key))
+    {
+        return false;
+    }
+    return std::ranges::any_of(
+        m_entries,
+        [&](auto const& item)
+        {
+            auto const& other = item.second;
+            return other.m_position.m_era < record.m_position.m_era &&
+                   other.m_value.m_upstream.m_address ==
+                       value.m_upstream.m_address &&
+                   other.m_value.m_start_time > value.m_start_time;
+        });
+}
+
+bool upstream_directory::is_later_era(log_position position) const
+{
+    return m_last_change != log_position{} &&
+           position.m_era > m_last_change.m_era;
+}
+
+void upstream_directory::add(
+    directory_record const& record, upstream_entry value)
+{
+    m_entries[record.m_key] = {
+        std::move(value),
+        record.m_value,
+        record.m_position,
+        record.m_position,
+        std::nullopt,
+        {},
+        false};
+    m_tombstones.erase(record.m_key);
+    advance_last_change(record.m_position);
+}
+
+bool upstream_directory::update(
+    directory_entry& entry,
+    directory_record const& record,
+    upstream_entry value)
+{
+    auto const known_position =
+        std::max(entry.m_position, entry.m_removal_position);
+    if (record.m_position >= entry.m_change_position)
     {
         // A later page of a snapshot can show a change before the changes that
         // precede it are read.
-        advance_last_change(entry.m_change_offset);
+        advance_last_change(entry.m_change_position);
+    }
+    // Between eras, the announcements tell which record is later.
+    bool const is_lost_record =
+        record.m_position.m_era < entry.m_position.m_era &&
+        supersedes(value, entry.m_value);
+    if (record.m_position <= known_position && !is_lost_record)
+    {
+        return false;
     }
-    if (record.m_offset <= known_offset || supersedes(entry.m_value, value))
+    // The copy may have the announcement that was known before the removal.
+    bool const is_removal_later =
+        entry.m_removal_due &&
+        entry.m_removal_position.m_era < record.m_position.m_era &&
+        !supersedes(value, entry.m_value);
+    if (is_removal_later || supersedes(entry.m_value, value))
     {
+        bool const is_older_copy =
+            known_position.m_era < record.m_position.m_era;
+        if (is_older_copy)
+        {
+            ++m_outdated;
+            keep_lost(entry, record, value);
+        }
         return false;
     }
     bool const is_changed = !is_same_upstream(entry.m_value, value);
-    bool const is_restored = entry.m_removal_due.has_value();
+    bool const is_news_to_peers =
+        is_changed || entry.m_removal_due || entry.m_is_lost;
     entry.m_value = std::move(value);
-    entry.m_encoded_value = *record.m_value;
-    entry.m_offset = record.m_offset;
+    entry.m_encoded_value = record.m_value;
+    if (is_lost_record)
+    {
+        return is_changed;
+    }
+    entry.m_position = record.m_position;
     entry.m_removal_due.reset();
-    entry.m_removal_offset = 0;
-    if (is_changed || is_restored)
+    entry.m_removal_position = {};
+    entry.m_is_lost = false;
+    if (is_news_to_peers)
     {
-        entry.m_change_offset = record.m_offset;
-        advance_last_change(record.m_offset);
+        entry.m_change_position = record.m_position;
+        advance_last_change(record.m_position);
     }
     return is_changed;
 }
 
-bool upstream_directory::remove(
-    time_point now, std::string const& key, log_offset offset)
+/// Makes the kept announcement a change of the copy's era, now and when the
+/// upstream repeats it, for peers that know the copy's record only.
+void upstream_directory::keep_lost(
+    directory_entry& entry,
+    directory_record const& record,
+    upstream_entry const& value)
+{
+    if (is_same_upstream(entry.m_value, value))
+    {
+        return;
+    }
+    entry.m_is_lost = true;
+    entry.m_change_position = record.m_position;
+    advance_last_change(record.m_position);
+}
+
+/// Makes a known removal a change of the copy's era, for peers that know the
+/// copy's record only.
+void upstream_directory::renew_removal(
+    tombstone& removed, log_position position)
 {
-    auto const existing = m_entries.find(key);
-    if (existing == m_entries.end() || offset <= existing->second.m_offset)
+    removed.m_change_position = position;
+    advance_last_change(position);
+}
+
+bool upstream_directory::remove(time_point now, directory_record const& removal)
+{
+    auto const existing = m_entries.find(removal.m_key);
+    if (existing == m_entries.end())
     {
+        auto const known = m_tombstones.find(removal.m_key);
+        bool const is_repeated = known != m_tombstones.end() &&
+                                 known->second.m_position < removal.m_position;
+        if (is_repeated)
+        {
+            renew_removal(known->second, removal.m_position);
+        }
+        remember_removal(removal);
         return false;
     }
     auto& entry = existing->second;
-    if (entry.m_removal_due)
+    if (entry.m_removal_due || !removes(removal, entry))
     {
         return false;
     }
-    advance_last_change(offset);
+    advance_last_change(removal.m_position);
     // Upstreams could not renew their entries while the store was unavailable,
-    // so they get time to register again.
+    // so they get time to register again. A removal of an earlier era was read
+    // before that.
     bool const may_be_alive =
         now < m_removal_grace_end &&
+        removal.m_position.m_era >= m_last_change.m_era &&
         entry.m_value.m_upstream.m_state == vm_state::live;
     if (may_be_alive)
     {
         entry.m_removal_due = m_removal_grace_end;
-        entry.m_removal_offset = offset;
+        entry.m_removal_position = removal.m_position;
         return false;
     }
+    tombstone removed{
+        removal.m_position,
+        entry.m_value.m_start_time,
+        entry.m_value.m_sequence,
+        std::move(entry.m_encoded_value),
+        entry.m_position};
     m_entries.erase(existing);
-    record_removal(key, offset);
+    record_removal(removal.m_key, std::move(removed));
+    remember_removal(removal);
     return true;
 }
 
+/// True if the upstream has not announced itself since the removal. An entry of
+/// a later era can come from an older copy; then the announcements tell.
+bool upstream_directory::removes(
+    directory_record const& removal, directory_entry const& entry) const
+{
+    if (removal.m_position > entry.m_position)
+    {
+        return true;
+    }
+    if (removal.m_position.m_era == entry.m_position.m_era ||
+        removal.m_value.empty())
+    {
+        return false;
+    }
+    auto const decoded = m_decode(removal.m_key, removal.m_value);
+    auto const* last = std::get_if<upstream_entry>(&decoded);
+    return last != nullptr && !supersedes(entry.m_value, *last);
+}
+
+/// Keeps the last announcement that a peer knew of a removed upstream: a VM
+/// that does not read the store knows only those that changed something.
+void upstream_directory::remember_removal(directory_record const& removal)
+{
+    if (removal.m_value.empty())
+    {
+        return;
+    }
+    auto const decoded = m_decode(removal.m_key, removal.m_value);
+    auto const* value = std::get_if<upstream_entry>(&decoded);
+    if (value == nullptr)
+    {
+        m_on_reject(removal.m_key, std::get<decode_failure>(decoded).m_reason);
+        return;
+    }
+    auto const known = m_tombstones.find(removal.m_key);
+    bool const is_newer =
+        known == m_tombstones.end() ||
+        std::pair{known->second.m_start_time, known->second.m_sequence} <
+            std::pair{value->m_start_time, value->m_sequence};
+    if (is_newer)
+    {
+        record_removal(
+            removal.m_key,
+            {removal.m_position,
+             value->m_start_time,
+             value->m_sequence,
+             removal.m_value,
+             {}});
+    }
+}
+
 void upstream_directory::record_removal(
-    std::string const& key, log_offset offset)
+    std::string const& key, tombstone removed)
 {
-    m_tombstones[key] = offset;
+    m_tombstones[key] = std::move(removed);
     if (m_tombstones.size() > max_tombstones)
     {
         m_tombstones.clear();
@@ -169,30 +386,110 @@
 
 bool upstream_directory::adopt(time_point now, change_set const& peer_changes)
 {
-    auto const last_change =
-        std::max(m_last_change, peer_changes.m_last_change);
-    bool const is_changed =
-        peer_changes.m_is_snapshot
-            ? apply_snapshot(
-                  now, peer_changes.m_records, peer_changes.m_last_change + 1)
-            : apply(now, peer_changes.m_records);
-    // A record has the offset of the upstream's last announcement, and the peer
-    // may lack changes before it.
+    auto const& position = peer_changes.m_last_change;
+    if (position.m_era < m_last_change.m_era)
+    {
+        return false;
+    }
+    bool const is_later = is_later_era(position);
+    if (is_later && !peer_changes.m_is_snapshot)
+    {
+        return false;
+    }
+    auto const last_change = std::max(m_last_change, position);
+    bool const is_changed = peer_changes.m_is_snapshot
+                                ? replace(now, peer_changes.m_records, position)
+                                : apply_records(now, peer_changes.m_records);
+    // A record has the position of the upstream's last announcement, and the
+    // peer may lack changes before it.
+    m_last_change = last_change;
+    return is_changed;
+}
+
+bool upstream_directory::adopt_lost(
+    time_point now, change_set const& peer_changes)
+{
+    // Other changes before these may be unknown here.
+    auto const last_change = m_last_change;
+    bool is_changed = false;
+    for (auto const& record : peer_changes.m_records)
+    {
+        bool const is_listed = m_entries.contains(record.m_key);
+        bool const is_wanted = record.m_is_removed || is_listed;
+        is_changed = (is_wanted && apply_record(now, record)) || is_changed;
+    }
     m_last_change = last_change;
     return is_changed;
 }
 
 bool upstream_directory::apply_snapshot(
-    time_point now, std::span<store_record const> records, log_offset end)
+    time_point now, std::span<store_record const> records, log_position end)
+{
+    if (end.m_era < m_last_change.m_era)
+    {
+        return false;
+    }
+    log_position const last{end.m_era, end.m_offset > 0 ? end.m_offset - 1 : 0};
+    return replace(now, with_positions(end.m_era, records), last);
+}
+
+bool upstream_directory::replace(
+    time_point now,
+    std::span<directory_record const> records,
+    log_position last)
+{
+    auto const before = m_last_change;
+    auto const last_complete = std::max(before, last);
+    bool const is_later = is_later_era(last);
+    bool is_changed = false;
+    m_outdated = 0;
+    if (is_later)
+    {
+        is_changed = remove_earlier(now, records, last.m_era);
+        start_removal_grace(now);
+    }
+    record_history_gap(before, last);
+    is_changed = apply_records(now, records) || is_changed;
+    is_changed = remove_unlisted(now, records, last) || is_changed;
+    // Later pages of a snapshot can show changes from after `last`, but not all
+    // of them.
+    m_last_change = std::min(m_last_change, last_complete);
+    if (is_later)
+    {
+        // Also if the copy has nothing new, positions are of its era now.
+        advance_last_change({last.m_era, 0});
+        m_era_change = {before, m_last_change, m_missing, m_outdated};
+    }
+    return is_changed;
+}
+
+/// Removes what a peer saw removed before an era. If the store returned since,
+/// those upstreams left for good and get no time to register again.
+bool upstream_directory::remove_earlier(
+    time_point now, std::span<directory_record const> records, store_era era)
+{
+    bool is_changed = false;
+    for (auto const& record : records)
+    {
+        bool const is_earlier =
+            record.m_is_removed && record.m_position.m_era < era;
+        is_changed = (is_earlier && remove(now, record)) || is_changed;
+    }
+    return is_changed;
+}
+
+bool upstream_directory::remove_unlisted(
+    time_point now,
+    std::span<directory_record const> records,
+    log_position last)
 {
-    log_offset const last = end > 0 ? end - 1 : 0;
-    auto const last_complete = std::max(m_last_change, last);
-    record_history_gap(m_last_change, last);
-    bool is_changed = apply(now, records);
     std::set<std::string_view> listed_keys;
     for (auto const& record : records)
     {
-        listed_keys.insert(record.m_key);
+        if (!record.m_is_removed)
+        {
+            listed_keys.insert(record.m_key);
+        }
     }
     std::vector<std::string> missing_keys;
     for (auto const& [key, entry] : m_entries)
@@ -202,22 +499,22 @@
             missing_keys.push_back(key);
         }
     }
+    m_missing = missing_keys.size();
+    bool is_changed = false;
     for (auto const& key : missing_keys)
     {
-        is_changed = remove(now, key, last) || is_changed;
+        is_changed = remove(now, {key, {}, true, last}) || is_changed;
     }
-    // Later pages of a snapshot can show changes from after `end`, but not all
-    // of them.
-    m_last_change = std::min(m_last_change, last_complete);
     return is_changed;
 }
 
-void upstream_directory::advance_last_change(log_offset offset)
+void upstream_directory::advance_last_change(log_position position)
 {
-    m_last_change = std::max(m_last_change, offset);
+    m_last_change = std::max(m_last_change, position);
 }
 
-void upstream_directory::record_history_gap(log_offset begin, log_offset end)
+void upstream_directory::record_history_gap(
+    log_position begin, log_position end)
 {
     if (begin >= end)
     {
@@ -228,11 +525,13 @@
     m_gap_end = end;
 }
 
-/// True if all changes after the offset are known.
-bool upstream_directory::has_history_since(log_offset offset) const
+/// True if all changes after the position are known.
+bool upstream_directory::has_history_since(log_position position) const
 {
-    bool const is_in_gap = m_gap_begin < offset && offset < m_gap_end;
-    return offset != 0 && offset >= m_history_start && !is_in_gap;
+    bool const is_in_gap = m_gap_begin < position && position < m_gap_end;
+    return position != log_position{} &&
+           position.m_era == m_last_change.m_era &&
+           position >= m_history_start && !is_in_gap;
 }
 
 void upstream_directory::start_removal_grace(time_point now)
@@ -249,7 +548,14 @@
             entry->second.m_removal_due && now >= *entry->second.m_removal_due;
         if (is_expired)
         {
-            record_removal(entry->first, entry->second.m_removal_offset);
+            auto& expired = entry->second;
+            record_removal(
+                entry->first,
+                {expired.m_removal_position,
+                 expired.m_value.m_start_time,
+                 expired.m_value.m_sequence,
+                 std::move(expired.m_encoded_value),
+                 {}});
             entry = m_entries.erase(entry);
         }
         else
@@ -287,32 +593,36 @@
 }
 
 upstream_directory::change_set
-upstream_directory::changes_since(log_offset offset) const
+upstream_directory::changes_since(log_position position) const
 {
     change_set result;
-    result.m_is_snapshot = !has_history_since(offset);
+    result.m_is_snapshot = !has_history_since(position);
     result.m_last_change = m_last_change;
+    auto const is_wanted = [&](log_position change)
+    {
+        return result.m_is_snapshot || change > position;
+    };
     for (auto const& [key, entry] : m_entries)
     {
-        if (result.m_is_snapshot || entry.m_change_offset > offset)
+        if (is_wanted(entry.m_change_position))
         {
             result.m_records.push_back(
-                {key, entry.m_encoded_value, entry.m_offset});
+                {key, entry.m_encoded_value, false, entry.m_position});
         }
-        if (entry.m_removal_due && entry.m_removal_offset > offset)
+        if (entry.m_removal_due && is_wanted(entry.m_removal_position))
         {
             result.m_records.push_back(
-                {key, std::nullopt, entry.m_removal_offset});
+                {key, entry.m_encoded_value, true, entry.m_removal_position});
         }
     }
-    if (!result.m_is_snapshot)
+    for (auto const& [key, removed] : m_tombstones)
     {
-        for (auto const& [key, removal_offset] : m_tombstones)
+        auto const change =
+            std::max(removed.m_position, removed.m_change_position);
+        if (is_wanted(change))
         {
-            if (removal_offset > offset)
-            {
-                result.m_records.push_back({key, std::nullopt, removal_offset});
-            }
+            result.m_records.push_back(
+                {key, removed.m_encoded_value, true, removed.m_position});
         }
     }
     return result;
--- a/src/upstream_directory.hpp
+++ b/src/upstream_directory.hpp
@@ -2,13 +2,16 @@
 #define BRIARHUB_UPSTREAM_DIRECTORY_HPP
 
 /// The endpoint set: all upstreams that are registered in the store. Each
-/// change carries its store offset, so that a peer can fetch only the changes
-/// after the last one it has applied. Does no I/O and reads no clock.
+/// change carries its position in the store, so that a peer can fetch only the
+/// changes after the last one it has applied. When the store returns from an
+/// older copy, a snapshot of the later era replaces the positions, and what was
+/// known of each upstream remains known. Does no I/O and reads no clock.
 
 #include "fleet_policy.hpp"
 #include "fleet_store.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -21,11 +24,34 @@
 namespace briarhub
 {
 
-/// Entries of live upstreams can expire while the store is unavailable. An
-/// upstream that has not registered again this long after the store recovers
-/// is removed.
+/// Entries of live upstreams can expire while the store is unavailable, and an
+/// older copy of the store lacks the latest ones. An upstream that has not
+/// registered again this long after the store recovers is removed.
 inline constexpr std::chrono::milliseconds removal_grace_period{2000};
 
+/// A record of the directory as peers send it.
+struct directory_record
+{
+    std::string m_key;
+    /// The upstream's announcement; the last known one if it was removed, or
+    /// empty if none is known.
+    std::string m_value;
+    bool m_is_removed = false;
+    log_position m_position;
+
+    friend bool
+    operator==(directory_record const&, directory_record const&) = default;
+};
+
+/// What the first snapshot of a later era changed.
+struct era_change
+{
+    log_position m_before; ///< last change before the snapshot
+    log_position m_after;
+    std::size_t m_missing = 0;  ///< entries that the snapshot lacks
+    std::size_t m_outdated = 0; ///< records older than what was known
+};
+
 class upstream_directory
 {
 public:
@@ -36,18 +62,31 @@
 
     upstream_directory(decoder decode, reject_handler on_reject);
 
-    /// Applies records in the order of their offsets. Returns true if an
-    /// upstream was added or removed, or changed more than its sequence number.
-    bool apply(time_point now, std::span<store_record const> records);
+    /// Applies records of an era in the order of their offsets. Returns true if
+    /// an upstream was added or removed, or changed more than its sequence
+    /// number. Records of an era other than the directory's have no effect,
+    /// since changes between them are unknown.
+    bool
+    apply(time_point now, store_era era, std::span<store_record const> records);
 
     struct change_set;
-    /// Applies the changes or the snapshot that a peer sent.
+    /// Applies the changes or the snapshot that a peer sent. Those of an older
+    /// era have no effect.
     bool adopt(time_point now, change_set const& peer_changes);
 
+    /// Applies what a peer knows of listed upstreams that the store lost when
+    /// it returned: removals, and announcements after those of its copy. Does
+    /// not change `last_change`.
+    bool adopt_lost(time_point now, change_set const& peer_changes);
+
     /// Applies a snapshot, which has the latest record of every key before the
-    /// offset `end`. Entries whose keys it lacks are removed.
+    /// position `end`. Entries whose keys it lacks are removed; in the first
+    /// snapshot of a later era, after `removal_grace_period`. A snapshot of an
+    /// older era has no effect.
     bool apply_snapshot(
-        time_point now, std::span<store_record const> records, log_offset end);
+        time_point now,
+        std::span<store_record const> records,
+        log_position end);
 
     /// Called when the store is reachable again after an outage. For the next
     /// `removal_grace_period`, removed live upstreams remain usable, since
@@ -67,55 +106,109 @@
     /// are left out.
     [[nodiscard]] std::vector<upstream_entry> usable() const;
 
-    /// Returns the offset of the last change.
-    [[nodiscard]] log_offset last_change() const
+    /// Returns the position of the last change.
+    [[nodiscard]] log_position last_change() const
     {
         return m_last_change;
     }
 
-    /// The records that changed after an offset. `m_is_snapshot` is set if the
-    /// change history after that offset is not complete; then all entries are
-    /// included.
+    /// The latest change of the era; nullopt if there was none.
+    [[nodiscard]] std::optional<era_change> const& last_era_change() const
+    {
+        return m_era_change;
+    }
+
+    /// The records that changed after a position. `m_is_snapshot` is set if the
+    /// change history after that position is not complete; then all entries
+    /// and all known removals are included.
     struct change_set
     {
         bool m_is_snapshot = false;
-        std::vector<store_record> m_records;
-        log_offset m_last_change = 0;
+        std::vector<directory_record> m_records;
+        log_position m_last_change;
     };
-    [[nodiscard]] change_set changes_since(log_offset offset) const;
+    [[nodiscard]] change_set changes_since(log_position position) const;
 
 private:
     struct directory_entry
     {
         upstream_entry m_value;
         std::string m_encoded_value; ///< as stored in the store
-        log_offset m_offset = 0;
-        log_offset m_change_offset = 0;
+        log_position m_position;
+        log_position m_change_position;
         std::optional<time_point> m_removal_due;
-        log_offset m_removal_offset = 0; ///< of the deferred removal
+        log_position m_removal_position; ///< of the deferred removal
+        /// The store lost the announcement, and its copy differs.
+        bool m_is_lost = false;
+    };
+
+    /// An upstream that was removed.
+    struct tombstone
+    {
+        log_position m_position; ///< of the removal
+        std::uint64_t m_start_time = 0;
+        std::uint64_t m_sequence = 0; ///< of the last known announcement
+        std::string m_encoded_value;  ///< of that announcement
+        /// Peers before it, or before the removal, are told of the removal.
+        log_position m_change_position;
     };
 
-    bool apply_record(time_point now, store_record const& record);
-    bool remove(time_point now, std::string const& key, log_offset offset);
-    bool put(store_record const& record);
-    void record_removal(std::string const& key, log_offset offset);
-    void advance_last_change(log_offset offset);
-    void record_history_gap(log_offset begin, log_offset end);
-    [[nodiscard]] bool has_history_since(log_offset offset) const;
+    bool
+    apply_records(time_point now, std::span<directory_record const> records);
+    bool apply_record(time_point now, directory_record const& record);
+    bool replace(
+        time_point now,
+        std::span<directory_record const> records,
+        log_position last);
+    bool remove(time_point now, directory_record const& removal);
+    void keep_lost(
+        directory_entry& entry,
+        directory_record const& record,
+        upstream_entry const& value);
+    void renew_removal(tombstone& removed, log_position position);
+    bool remove_earlier(
+        time_point now,
+        std::span<directory_record const> records,
+        store_era era);
+    bool remove_unlisted(
+        time_point now,
+        std::span<directory_record const> records,
+        log_position last);
+    bool put(directory_record const& record);
+    void add(directory_record const& record, upstream_entry value);
+    bool update(
+        directory_entry& entry,
+        directory_record const& record,
+        upstream_entry value);
+    [[nodiscard]] bool removes(
+        directory_record const& removal, directory_entry const& entry) const;
+    [[nodiscard]] bool is_known_removed(
+        directory_record const& record, upstream_entry const& value) const;
+    [[nodiscard]] bool is_address_reused(
+        directory_record const& record, upstream_entry const& value) const;
+    [[nodiscard]] bool is_later_era(log_position position) const;
+    void remember_removal(directory_record const& removal);
+    void record_removal(std::string const& key, tombstone removed);
+    void advance_last_change(log_position position);
+    void record_history_gap(log_position begin, log_position end);
+    [[nodiscard]] bool has_history_since(log_position position) const;
 
     decoder m_decode;
     reject_handler m_on_reject;
     std::map<std::string, directory_entry> m_entries;
-    std::map<std::string, log_offset> m_tombstones;
-    log_offset m_last_change = 0;
-    /// A peer whose last change is before this offset gets a snapshot.
-    log_offset m_history_start = 0;
-    /// Offsets before and of the latest snapshot. Entries that were added and
+    std::map<std::string, tombstone> m_tombstones;
+    log_position m_last_change;
+    /// A peer whose last change is before this position gets a snapshot.
+    log_position m_history_start;
+    /// Positions before and of the latest snapshot. Entries that were added and
     /// removed between them are unknown here, but a peer whose last change lies
     /// between them may know them.
-    log_offset m_gap_begin = 0;
-    log_offset m_gap_end = 0;
+    log_position m_gap_begin;
+    log_position m_gap_end;
     time_point m_removal_grace_end{};
+    std::optional<era_change> m_era_change;
+    std::size_t m_missing = 0;  ///< entries that the last snapshot lacked
+    std::size_t m_outdated = 0; ///< records that an older copy still had
 };
 
 } // namespace briarhub
--- a/tests/edge_policy_test.cpp
+++ b/tests/edge_policy_test.cpp
@@ -100,7 +100,7 @@
 bool apply_one(
     upstream_directory& directory, time_point now, store_record const& record)
 {
-    return directory.apply(now, std::vector{record});
+    return directory.apply(now, 0, std::vector{record});
 }
 
 std::set<upstream_id> usable_ids(upstream_directory const& directory)
@@ -430,7 +430,7 @@
     apply_one(directory, at(0ms), put("a", "1 1 r", 1));
     CHECK(apply_one(directory, at(0ms), removal("a", 5)));
     CHECK(!directory.apply_snapshot(
-        at(0ms), std::vector{put("a", "1 2 r", 4)}, 5));
+        at(0ms), std::vector{put("a", "1 2 r", 4)}, {0, 5}));
     CHECK(directory.usable().empty());
     CHECK(apply_one(directory, at(0ms), put("a", "1 3 r", 6)));
 }
@@ -459,10 +459,10 @@
     apply_one(directory, at(0ms), put("a", "1 1 r", 1));
     apply_one(directory, at(0ms), put("b", "1 1 r", 2));
     auto peer = make_directory();
-    peer.adopt(at(0ms), directory.changes_since(0));
+    peer.adopt(at(0ms), directory.changes_since({0, 0}));
     CHECK(peer.usable().size() == 2);
     apply_one(directory, at(0ms), put("b", "1 2 r", 3));
-    CHECK(directory.last_change() == 2);
+    CHECK(directory.last_change() == log_position{0, 2});
     apply_one(directory, at(0ms), removal("a", 4));
     apply_one(directory, at(0ms), put("c", "1 1 r", 5));
     auto const update = directory.changes_since(peer.last_change());
@@ -479,10 +479,12 @@
     // an upstream that had left.
     auto peer = make_directory();
     peer.apply(
-        at(0ms), std::vector{put("a", "1 1 r", 1), put("b", "1 1 r", 2)});
+        at(0ms), 0, std::vector{put("a", "1 1 r", 1), put("b", "1 1 r", 2)});
     auto restarted = make_directory();
     restarted.apply_snapshot(
-        at(0ms), std::vector{put("b", "1 2 r", 4), put("c", "1 1 r", 5)}, 6);
+        at(0ms),
+        std::vector{put("b", "1 2 r", 4), put("c", "1 1 r", 5)},
+        {0, 6});
     CHECK(peer.adopt(at(0ms), restarted.changes_since(peer.last_change())));
     CHECK(usable_ids(peer) == std::set<upstream_id>{"b", "c"});
 }
@@ -495,19 +497,23 @@
     {
         auto peer = make_directory();
         peer.apply(
-            at(0ms), std::vector{put("a", "1 1 r", 1), put("b", "1 1 r", 2)});
+            at(0ms),
+            0,
+            std::vector{put("a", "1 1 r", 1), put("b", "1 1 r", 2)});
         auto directory = make_directory();
-        directory.adopt(at(0ms), peer.changes_since(0));
-        peer.apply(at(0ms), std::vector{put("brief", "1 1 r", 3)});
+        directory.adopt(at(0ms), peer.changes_since({0, 0}));
+        peer.apply(at(0ms), 0, std::vector{put("brief", "1 1 r", 3)});
         auto const latest =
             std::vector{put("a", "1 2 r", 5), put("c", "1 1 r", 6)};
         if (is_from_store)
         {
-            directory.apply_snapshot(at(0ms), latest, 7);
+            directory.apply_snapshot(at(0ms), latest, {0, 7});
         }
         else
         {
-            directory.adopt(at(0ms), {true, latest, 6});
+            auto source = make_directory();
+            source.apply(at(0ms), 0, latest);
+            directory.adopt(at(0ms), source.changes_since({}));
         }
         peer.adopt(at(0ms), directory.changes_since(peer.last_change()));
         CHECK(usable_ids(peer) == std::set<upstream_id>{"a", "c"});
@@ -518,11 +524,15 @@
 {
     auto directory = make_directory();
     directory.apply_snapshot(
-        at(0ms), std::vector{put("a", "1 1 r", 1), put("b", "1 1 r", 2)}, 3);
+        at(0ms),
+        std::vector{put("a", "1 1 r", 1), put("b", "1 1 r", 2)},
+        {0, 3});
     auto peer = make_directory();
-    peer.adopt(at(0ms), directory.changes_since(0));
+    peer.adopt(at(0ms), directory.changes_since({0, 0}));
     directory.apply_snapshot(
-        at(0ms), std::vector{put("a", "1 2 r", 3), put("c", "1 1 r", 4)}, 6);
+        at(0ms),
+        std::vector{put("a", "1 2 r", 3), put("c", "1 1 r", 4)},
+        {0, 6});
     auto const update = directory.changes_since(peer.last_change());
     CHECK(!update.m_is_snapshot);
     CHECK(update.m_records.size() == 2);
@@ -536,9 +546,9 @@
     // peers had passed, so they kept sending requests to the upstream.
     auto reader = make_directory();
     reader.apply(
-        at(0ms), std::vector{put("a", "1 1 r", 1), put("b", "1 1 r", 2)});
+        at(0ms), 0, std::vector{put("a", "1 1 r", 1), put("b", "1 1 r", 2)});
     auto peer = make_directory();
-    peer.adopt(at(0ms), reader.changes_since(0));
+    peer.adopt(at(0ms), reader.changes_since({0, 0}));
     reader.start_removal_grace(at(1s));
     apply_one(reader, at(1100ms), removal("a", 3));
     apply_one(reader, at(1200ms), put("b", "1 2 d", 4));
@@ -555,13 +565,13 @@
     apply_one(reader, at(0ms), put("a", "1 1 r", 1));
     auto peer = make_directory();
     auto other = make_directory();
-    peer.adopt(at(0ms), reader.changes_since(0));
-    other.adopt(at(0ms), reader.changes_since(0));
+    peer.adopt(at(0ms), reader.changes_since({0, 0}));
+    other.adopt(at(0ms), reader.changes_since({0, 0}));
     reader.start_removal_grace(at(1s));
     peer.start_removal_grace(at(1s));
     apply_one(reader, at(1100ms), removal("a", 2));
-    CHECK(!peer.adopt(at(1200ms), reader.changes_since(1)));
-    CHECK(other.adopt(at(1200ms), reader.changes_since(1)));
+    CHECK(!peer.adopt(at(1200ms), reader.changes_since({0, 1})));
+    CHECK(other.adopt(at(1200ms), reader.changes_since({0, 1})));
     CHECK(peer.usable().size() == 1);
     CHECK(other.usable().empty());
     CHECK(peer.next_expiry() == at(3s));
@@ -584,10 +594,11 @@
     // The removal is the last record of the log, after all that is listed.
     auto directory = make_directory();
     directory.apply(
-        at(0ms), std::vector{put("a", "1 1 r", 1), put("b", "1 1 r", 2)});
+        at(0ms), 0, std::vector{put("a", "1 1 r", 1), put("b", "1 1 r", 2)});
     auto peer = make_directory();
-    peer.adopt(at(0ms), directory.changes_since(0));
-    directory.apply_snapshot(at(0ms), std::vector{put("b", "1 1 r", 2)}, 4);
+    peer.adopt(at(0ms), directory.changes_since({0, 0}));
+    directory.apply_snapshot(
+        at(0ms), std::vector{put("b", "1 1 r", 2)}, {0, 4});
     REQUIRE(directory.last_change() > peer.last_change());
     peer.adopt(at(0ms), directory.changes_since(peer.last_change()));
     CHECK(usable_ids(peer) == std::set<upstream_id>{"b"});
@@ -598,8 +609,9 @@
     // While the read is in progress, a peer can provide a later state.
     auto directory = make_directory();
     directory.apply(
-        at(0ms), std::vector{put("a", "1 1 r", 1), put("new", "1 1 r", 9)});
-    directory.apply_snapshot(at(0ms), std::vector{put("a", "1 2 r", 5)}, 8);
+        at(0ms), 0, std::vector{put("a", "1 1 r", 1), put("new", "1 1 r", 9)});
+    directory.apply_snapshot(
+        at(0ms), std::vector{put("a", "1 2 r", 5)}, {0, 8});
     CHECK(usable_ids(directory) == std::set<upstream_id>{"a", "new"});
 }
 
@@ -610,16 +622,18 @@
     // would hide the change of "a" from the peers.
     auto directory = make_directory();
     directory.apply_snapshot(
-        at(0ms), std::vector{put("a", "1 1 r", 4), put("z", "1 1 r", 7)}, 5);
+        at(0ms),
+        std::vector{put("a", "1 1 r", 4), put("z", "1 1 r", 7)},
+        {0, 5});
     auto peer = make_directory();
-    peer.adopt(at(0ms), directory.changes_since(0));
+    peer.adopt(at(0ms), directory.changes_since({0, 0}));
     directory.apply(
-        at(0ms), std::vector{put("a", "1 2 d", 6), put("z", "1 1 r", 7)});
+        at(0ms), 0, std::vector{put("a", "1 2 d", 6), put("z", "1 1 r", 7)});
     REQUIRE(directory.last_change() > peer.last_change());
     peer.adopt(at(0ms), directory.changes_since(peer.last_change()));
     CHECK(usable_ids(peer) == std::set<upstream_id>{"z"});
-    CHECK(directory.last_change() == 7);
-    CHECK(peer.last_change() == 7);
+    CHECK(directory.last_change() == log_position{0, 7});
+    CHECK(peer.last_change() == log_position{0, 7});
 }
 
 TEST_CASE("gossip messages survive encoding and malformed bytes are rejected")
@@ -640,7 +654,7 @@
     message.m_upstreams.push_back(update);
     message.m_usage = {{4, 1000}};
     message.m_suspects = {{"digest", 2}};
-    message.m_state = {12, 34, true, true};
+    message.m_state = {12, {3, 34}, true, true};
     message.m_replica_ages = {0ms, 1500ms};
     message.m_members = {{1, 2}};
     message.m_fleet_size = 36;
--- a/tests/replica_freshness_test.cpp
+++ b/tests/replica_freshness_test.cpp
@@ -74,13 +74,13 @@
     // succeeded for the end of an outage, and kept upstreams that had left.
     replicas_freshness freshness;
     CHECK(!freshness.unread_since(at(9s), 3s));
-    freshness.m_directory.set_version(7);
-    freshness.m_directory.confirm(7, at(1s));
+    freshness.m_directory.set_version({0, 7});
+    freshness.m_directory.confirm({0, 7}, at(1s));
     freshness.m_policy.confirm(2, at(2s));
     CHECK(!freshness.unread_since(at(4s), 3s));
     CHECK(freshness.unread_since(at(5s), 3s) == at(2s));
     // The version that a peer has read is not known here yet.
-    freshness.m_directory.confirm(9, at(4s));
+    freshness.m_directory.confirm({0, 9}, at(4s));
     CHECK(!freshness.unread_since(at(5s), 3s));
     CHECK(freshness.unread_since(at(7s), 3s) == at(4s));
 }
--- a/tests/store_client_test.cpp
+++ b/tests/store_client_test.cpp
@@ -43,14 +43,15 @@
     REQUIRE(request.find("\r\n\r\n") != std::string::npos);
 }
 
-void respond(asio::ip::tcp::socket& connection)
+/// `headers` are lines that end with CRLF.
+void respond(asio::ip::tcp::socket& connection, std::string const& headers = {})
 {
     std::string const body = R"({"items":[],"has_more":false,"end_offset":7})";
     asio::write(
         connection,
         asio::buffer(
             "HTTP/1.1 200 OK\r\nContent-Length: " +
-            std::to_string(body.size()) + "\r\n\r\n" + body));
+            std::to_string(body.size()) + "\r\n" + headers + "\r\n" + body));
 }
 
 /// A client and the listening socket of its store.
@@ -134,3 +135,67 @@
     REQUIRE(std::holds_alternative<store_page>(*m_result));
     CHECK(std::get<store_page>(*m_result).m_end == 7);
 }
+
+TEST_CASE_FIXTURE(fixture, "each response tells the era of the store")
+{
+    // Guards against offsets that are compared across a return of the store
+    // from an older copy.
+    CHECK(!m_client.era());
+    start_read();
+    m_io.run_for(5ms);
+    auto connection = m_store.accept();
+    auto const exchange = [&](std::string const& headers)
+    {
+        read_request(m_io, connection);
+        respond(connection, headers);
+        m_io.run_for(50ms);
+        REQUIRE(m_result);
+    };
+    exchange("");
+    CHECK(std::get<store_page>(*m_result).m_era == 0);
+    CHECK(m_client.era() == 0);
+    start_read();
+    exchange("store-era: 3\r\n");
+    CHECK(std::get<store_page>(*m_result).m_era == 3);
+    CHECK(m_client.era() == 3);
+    start_read();
+    exchange("Store-Era: 2\r\n");
+    CHECK(std::get<store_failure>(*m_result) == store_failure::outdated_era);
+    start_read();
+    exchange("Store-Era: x\r\n");
+    CHECK(std::get<store_failure>(*m_result) == store_failure::malformed);
+    CHECK(m_client.era() == 3);
+}
+
+TEST_CASE_FIXTURE(fixture, "errors and answers to writes tell the era too")
+{
+    std::optional<store_failure> failure;
+    bool is_done = false;
+    asio::co_spawn(
+        m_io,
+        [&]() -> asio::awaitable<void>
+        {
+            failure =
+                co_await m_client.put(store_topic::fleet, "10.0.0.1", "z1");
+            is_done = true;
+        },
+        asio::detached);
+    m_io.run_for(5ms);
+    auto connection = m_store.accept();
+    read_request(m_io, connection);
+    respond(connection, "Store-Era: 4\r\n");
+    m_io.run_for(50ms);
+    REQUIRE(is_done);
+    CHECK(!failure);
+    CHECK(m_client.era() == 4);
+    start_read();
+    read_request(m_io, connection);
+    asio::write(
+        connection,
+        asio::buffer(std::string{
+            "HTTP/1.1 410 X\r\nStore-Era: 5\r\nContent-Length: 0\r\n\r\n"}));
+    m_io.run_for(50ms);
+    REQUIRE(m_result);
+    CHECK(std::get<store_failure>(*m_result) == store_failure::history_gone);
+    CHECK(m_client.era() == 5);
+}
