--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -185,6 +185,7 @@
         self.directory = tempfile.mkdtemp(prefix="briarhub-edge-")
         self.store = Store()
         self.version = 0
+        self.configuration = b""  # as the operator wrote it last
         self.vms = [
             EdgeVm(self, n + 1, f"z{n % failure_domains + 1}") for n in range(vms)
         ]
@@ -231,7 +232,20 @@
         """Publishes a policy; `put` is the store's way to append it."""
         self.version += 3
         text = json.dumps({"version": self.version, "resources": resources})
-        await (put or self.store.put)("keyed.op", "config", text.encode())
+        self.configuration = text.encode()
+        await (put or self.store.put)("keyed.op", "config", self.configuration)
+
+    async def configure_again(self):
+        """Publishes the last policy once more, as after a return of the store."""
+        await self.store.put("keyed.op", "config", self.configuration)
+
+    def add_vm(self):
+        """Starts a further VM."""
+        number = len(self.vms) + 1
+        vm = EdgeVm(self, number, f"z{number % self.failure_domains + 1}")
+        self.vms.append(vm)
+        vm.start()
+        return vm
 
     @staticmethod
     async def wait_until(condition, timeout_s=5.0):
--- a/tests/edge/soak.py
+++ b/tests/edge/soak.py
@@ -1,13 +1,14 @@
 """Randomized soak test: real edge processes under injected faults. The checks use
 only what callers and upstreams observe.
 
-    soak.py [--seeds N] [--minutes M] [--replay SEED] [--seconds S]
+    soak.py [--seeds N] [--minutes M] [--replay SEED] [--seconds S] [--returns]
 
 Each seed determines a fleet and a series of overlapping faults: processes are
 stopped, paused, killed and restarted; a loopback proxy before the store delays
 or drops data or resets connections; the store rejects calls or deletes its
-history; upstreams fail; keys, rates and routes change. Seeds that failed once are
-in `REGRESSION_SEEDS`. The exit code is 1 if a check found a violation.
+history; upstreams fail; keys, rates and routes change. With --returns the store also
+returns from older copies, from a generator of its own, so that the other faults of a
+seed remain. Seeds that failed once are in `REGRESSION_SEEDS`. The exit code is 1 if a check found a violation.
 """
 
 import argparse
@@ -39,8 +40,11 @@
 
 
 class Soak:
-    def __init__(self, seed, seconds):
+    def __init__(self, seed, seconds, has_returns=False):
         self.random = random.Random(seed)
+        self.return_random = random.Random(f"returns {seed}")
+        self.has_returns = has_returns
+        self.returns = []  # (copied at, back at)
         self.seconds = seconds
         self.violations = []
         self.responses = []  # (sent, is_non_idempotent, id, key, vm, response)
@@ -194,6 +198,38 @@
             for each in self.fleet.upstreams:
                 each.idle_reset_after_s = None
 
+    async def inject_returns(self):
+        """The store returns from copies; the operator then writes again.
+
+        A return excuses no late change: keys and drains keep their bounds."""
+        draw = self.return_random
+        first = time.time()
+        end = first + self.seconds
+        while True:
+            await asyncio.sleep(draw.uniform(1, 6))
+            if time.time() > end:
+                return
+            copied_at = max(first, time.time() - draw.uniform(0.5, 8))
+            await self.fleet.store.return_from_copy(copied_at, draw.uniform(0.1, 0.8))
+            self.returns.append((copied_at, time.time()))
+            await asyncio.sleep(draw.uniform(0.2, 1))
+            await self.fleet.configure_again()
+
+    def check_eras(self):
+        """Each VM that ran since before the last return knows its era."""
+        era = self.fleet.store.era
+        if not self.returns:
+            return
+        last = self.returns[-1][1]
+        for vm in self.fleet.vms:
+            if self.had_process_fault(vm, last - 1, time.time()):
+                continue
+            starts = [event for event in vm.events() if event.get("event") == "start"]
+            eras = [event["era"] for event in vm.events("store_era")]
+            started_in_era = starts and not eras
+            if not started_in_era and eras[-1:] != [era]:
+                self.violations.append(f"{vm.name} knows the eras {eras} of {era}")
+
     async def change_keys(self):
         self.next_key += 1
         old_key = self.keys[0]
@@ -203,6 +239,8 @@
 
     async def inject_faults(self):
         running = []
+        if self.has_returns:
+            running.append(asyncio.ensure_future(self.inject_returns()))
         faults = [self.inject_process_fault, self.inject_process_fault, self.inject_store_fault,
                   self.inject_upstream_fault, self.inject_upstream_fault, self.change_keys]
         end = time.time() + self.seconds
@@ -221,6 +259,7 @@
         self.check_rate(runs)
         self.check_leaving(runs)
         self.check_retry_after()
+        self.check_eras()
 
     def check_leaving(self, runs):
         """A VM that passed on a leaving notice sends the upstream no later requests."""
@@ -329,14 +368,15 @@
         return self.violations
 
 
-def run_seed(seed, seconds):
+def run_seed(seed, seconds, has_returns):
     started = time.time()
-    soak = Soak(seed, seconds)
+    soak = Soak(seed, seconds, has_returns)
     violations = asyncio.run(soak.run())
     verdict = "BROKEN" if violations else "kept"
     served = sum(item[5].status == 200 for item in soak.responses)
+    returns = f"{len(soak.returns)} returns, " if has_returns else ""
     print(f"seed {seed}: {verdict}, {len(soak.responses)} requests, {served} succeeded, "
-          f"{time.time() - started:.0f} s, logs in {soak.fleet.directory}", flush=True)
+          f"{returns}{time.time() - started:.0f} s, logs in {soak.fleet.directory}", flush=True)
     for text in violations[:10]:
         print(f"  {text}", flush=True)
     return not violations
@@ -349,9 +389,12 @@
     parser.add_argument("--replay", type=int)
     parser.add_argument("--first", type=int, help="first seed (default: random)")
     parser.add_argument("--seconds", type=float, default=12, help="fault injection time per seed")
+    parser.add_argument("--returns", action="store_true",
+                        help="the store also returns from older copies")
     options = parser.parse_args()
     if options.replay is not None:
-        return 0 if run_seed(options.replay, options.seconds) else 1
+        is_kept = run_seed(options.replay, options.seconds, options.returns)
+        return 0 if is_kept else 1
     first = options.first if options.first is not None else random.SystemRandom().randint(1, 10**6)
     end = time.time() + options.minutes * 60
     failed, count = [], 0
@@ -359,7 +402,7 @@
     while seeds or time.time() < end:
         seed = seeds.pop(0) if seeds else first + count
         count += 1
-        if not run_seed(seed, options.seconds):
+        if not run_seed(seed, options.seconds, options.returns):
             failed.append(seed)
     print(f"{count - len(failed)} passed, {len(failed)} failed")
     return 1 if failed else 0
--- a/tests/edge/stand_ins.py
+++ b/tests/edge/stand_ins.py
@@ -101,7 +101,11 @@
     def __init__(self):
         super().__init__()
         self.topics = {}
+        self.append_times = {}  # per topic, of each record
         self.first_offset = {}
+        self.era = 0  # number of returns from an older copy; in a header unless 0
+        self.sends_era = True
+        self.is_away = False  # connections are reset
         self.changed = asyncio.Condition()
         self.status = None  # respond to every call with this status
         self.never_responds = False
@@ -113,10 +117,28 @@
     def records(self, topic):
         return self.topics.setdefault(topic, [])
 
+    def append(self, topic, key, value):
+        self.records(topic).append((key, value))
+        self.append_times.setdefault(topic, []).append(time.time())
+
     async def put(self, topic, key, value):
         """Appends a record; `value` None deletes the key."""
         async with self.changed:
-            self.records(topic).append((key, value))
+            self.append(topic, key, value)
+            self.changed.notify_all()
+
+    async def return_from_copy(self, copied_at, away_s):
+        """Goes away and returns from the copy of a time; what came later is lost."""
+        self.is_away = True
+        self.drop_connections()
+        await asyncio.sleep(away_s)
+        async with self.changed:
+            for topic, times in self.append_times.items():
+                kept = sum(appended <= copied_at for appended in times)
+                del self.topics[topic][kept:], times[kept:]
+                self.first_offset[topic] = min(self.first_offset.get(topic, 0), kept)
+            self.era += 1
+            self.is_away = False
             self.changed.notify_all()
 
     async def compact_topic(self, topic):
@@ -128,7 +150,7 @@
     async def put_without_history(self, topic, key, value):
         """Appends a record and deletes the history before a waiting read gets it."""
         async with self.changed:
-            self.records(topic).append((key, value))
+            self.append(topic, key, value)
             self.first_offset[topic] = len(self.records(topic))
             self.changed.notify_all()
 
@@ -148,13 +170,16 @@
             if message is None:
                 return
             self.calls += 1
+            if self.is_away:
+                writer.transport.abort()
+                return
             if self.never_responds:
                 await asyncio.sleep(3600)
             if self.delay_s:
                 await asyncio.sleep(self.delay_s)
             line, _, body = message
             if self.status:
-                response = encode_response(self.status, {})
+                response = self.respond(self.status)
             else:
                 method, target, _ = line.split(" ")
                 response = await self.handle_call(method, target, body)
@@ -163,6 +188,11 @@
             writer.write(response)
             await writer.drain()
 
+    def respond(self, status, body=b""):
+        has_era = self.sends_era and self.era > 0
+        headers = {"Store-Era": self.era} if has_era else {}
+        return encode_response(status, headers, body)
+
     async def handle_call(self, method, target, body):
         path, _, query = target.partition("?")
         arguments = dict(item.split("=") for item in query.split("&") if item)
@@ -177,7 +207,7 @@
                 key, value = content[1 : 1 + size], content[1 + size :]
                 await self.put(topic, key.decode(), value or None)
             text = json.dumps({"end_offset": len(self.records(topic))})
-            return encode_response(200, {}, text.encode())
+            return self.respond(200, text.encode())
         if path == "/log-newest":
             items = [
                 {
@@ -189,17 +219,17 @@
             ]
             end = len(self.records(topic))
             text = {"items": items, "has_more": False, "end_offset": end}
-            return encode_response(200, {}, json.dumps(text).encode())
+            return self.respond(200, json.dumps(text).encode())
         if path == "/log-read":
             return await self.read(topic, arguments)
-        return encode_response(404, {})
+        return self.respond(404)
 
     async def read(self, topic, arguments):
         start = int(arguments["from"])
         wait_s = int(arguments.get("wait_ms", 0)) / 1000
-        if start < self.first_offset.get(topic, 0):
-            text = json.dumps({"first_offset": self.first_offset[topic]})
-            return encode_response(410, {}, text.encode())
+        first = self.first_offset.get(topic, 0)
+        if not first <= start <= len(self.records(topic)):
+            return self.respond(410, json.dumps({"first_offset": first}).encode())
 
         def has_new_records():
             return len(self.records(topic)) > start
@@ -217,7 +247,7 @@
         for key, value in records[max(start, self.first_offset.get(topic, 0)):]:
             content = bytes([len(key)]) + key.encode() + (value or b"")
             text += struct.pack(">I", len(content)) + content
-        return encode_response(200, {}, text)
+        return self.respond(200, text)
 
 
 class Proxy(Server):
