Obey orders to evacuate a failure domain

Callers' requests went on to reach upstreams of a failure domain that the operator had ordered to be evacuated, at every VM and without end: a read of the policy's topic ignored all records but the configuration.

Heartbeats carry the position, and peers that are behind fetch the set. The load balancer treats upstreams of an evacuated domain as closed; if nothing else is left, a request is refused at once with a code of its own.

--- a/src/edge_attempts.cpp
+++ b/src/edge_attempts.cpp
@@ -576,10 +576,7 @@
         if (m_executed_attempts == 0)
         {
             m_request.m_outcome = "refused";
-            auto const code = m_request.m_caller->is_interrupted()
-                                  ? result_code::stopping
-                                  : result_code::no_upstream;
-            return refusal{code, retry_after()};
+            return refusal{refusal_reason(), retry_after()};
         }
         m_request.m_outcome = "failed";
         if (m_has_timed_out)
@@ -592,6 +589,18 @@
             std::nullopt};
     }
 
+    [[nodiscard]] result_code refusal_reason() const
+    {
+        if (m_request.m_caller->is_interrupted())
+        {
+            return result_code::stopping;
+        }
+        bool const is_evacuated =
+            m_state.m_load_balancer.is_evacuated(m_request.m_service);
+        return is_evacuated ? result_code::upstreams_evacuated
+                            : result_code::no_upstream;
+    }
+
     duration retry_after()
     {
         auto const now = runtime_clock::now();
--- a/src/edge_server.cpp
+++ b/src/edge_server.cpp
@@ -89,6 +89,11 @@
     update_readiness();
 }
 
+void edge_server::receive(evacuation_event&& update)
+{
+    m_state->set_evacuated(std::move(update.m_domains));
+}
+
 void edge_server::receive(upstreams_event&& update)
 {
     m_state->set_upstreams(std::move(update.m_upstreams));
--- a/src/edge_server.hpp
+++ b/src/edge_server.hpp
@@ -59,6 +59,7 @@
 
 private:
     void receive(policy_event&& update);
+    void receive(evacuation_event&& update);
     void receive(upstreams_event&& update);
     void receive(replica_status_event&& update);
     void receive(members_event&& update);
--- a/src/edge_settings.hpp
+++ b/src/edge_settings.hpp
@@ -33,6 +33,8 @@
     retry_bounds m_retries;
     /// Maximum time until a policy change is in force.
     std::chrono::milliseconds m_policy_update_limit{2000};
+    /// Maximum time until an evacuation order is in force.
+    std::chrono::milliseconds m_evacuation_limit{5000};
     /// Maximum time until a change of an upstream is in force.
     std::chrono::milliseconds m_upstream_update_limit{2000};
     /// Interval at which upstreams renew their announcements in the store.
--- a/src/edge_state.cpp
+++ b/src/edge_state.cpp
@@ -2,6 +2,8 @@
 
 #include "random_seed.hpp"
 
+#include <algorithm>
+#include <iterator>
 #include <set>
 #include <string>
 #include <utility>
@@ -76,6 +78,36 @@
     m_has_upstreams = true;
 }
 
+void edge_state::set_evacuated(std::set<failure_domain>&& domains)
+{
+    std::vector<failure_domain> changed;
+    std::ranges::set_symmetric_difference(
+        m_evacuated, domains, std::back_inserter(changed));
+    m_evacuated = std::move(domains);
+    m_load_balancer.set_evacuated(m_evacuated);
+    for (auto const& domain : changed)
+    {
+        record_evacuation(domain, m_evacuated.contains(domain));
+    }
+    m_metrics.get_gauge("briarhub_evacuated_domains")
+        .set(static_cast<double>(m_evacuated.size()));
+}
+
+void edge_state::record_evacuation(
+    failure_domain const& domain, bool is_evacuated)
+{
+    m_metrics
+        .get_counter(
+            "briarhub_evacuation_changes_total",
+            {{"to", is_evacuated ? "evacuated" : "open"}})
+        .add();
+    m_events.write(
+        "evacuation",
+        {{"failure_domain", domain},
+         {"evacuated", is_evacuated},
+         {"upstreams", m_load_balancer.upstreams_in(domain)}});
+}
+
 void edge_state::apply_settings(edge_settings const& settings)
 {
     m_settings.m_retries = settings.m_retries;
--- a/src/edge_state.hpp
+++ b/src/edge_state.hpp
@@ -31,6 +31,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -54,6 +55,9 @@
     /// Replaces the set of upstreams that may receive requests.
     void set_upstreams(std::vector<upstream_entry>&& entries);
 
+    /// Replaces the failure domains whose upstreams get no requests.
+    void set_evacuated(std::set<failure_domain>&& domains);
+
     void apply_settings(edge_settings const& settings);
 
     /// Null until a policy is loaded. A request uses one policy to its end.
@@ -128,9 +132,11 @@
 
 private:
     void remove_stale_routes(fleet_policy const& policy);
+    void record_evacuation(failure_domain const& domain, bool is_evacuated);
 
     std::shared_ptr<policy_index const> m_policy;
     bool m_has_upstreams = false;
+    std::set<failure_domain> m_evacuated;
     std::map<std::string, double, std::less<>> m_response_bytes; ///< by route
 };
 
--- a/src/fleet_store.hpp
+++ b/src/fleet_store.hpp
@@ -23,7 +23,7 @@
 /// Topics of keyed records; the store retains the newest record of each key.
 enum class store_topic
 {
-    policy,    ///< the operator's configuration
+    policy,    ///< the operator's configuration and evacuation orders
     upstreams, ///< announcements of upstreams, keyed by upstream
     fleet      ///< written by entry VMs: their addresses, the health snapshot
 };
@@ -89,6 +89,13 @@
         std::variant<fleet_policy, decode_failure>>
     decode_policy(std::string_view key, std::string_view value) const = 0;
 
+    /// Decodes the failure domain of an evacuation order from the key of a
+    /// record; nullopt for a record of another kind. The record gives the order
+    /// if it has a value, and takes it back if it has none.
+    [[nodiscard]] virtual std::optional<
+        std::variant<failure_domain, decode_failure>>
+    decode_evacuation(std::string_view key) const = 0;
+
     [[nodiscard]] virtual std::variant<upstream_entry, decode_failure>
     decode_upstream(std::string_view key, std::string_view value) const = 0;
 };
--- a/src/gossip_message.cpp
+++ b/src/gossip_message.cpp
@@ -279,6 +279,8 @@
     to.set_sequence(message.m_sequence);
     to.set_pass_on(message.m_relay);
     to.set_policy_version(message.m_state.m_policy_version);
+    to.set_policy_era(message.m_state.m_policy_position.m_era);
+    to.set_policy_end(message.m_state.m_policy_position.m_offset);
     to.set_directory_change(message.m_state.m_directory_offset);
     to.set_is_following(message.m_state.m_is_store_reader);
     to.set_has_store(message.m_state.m_reaches_store);
@@ -304,6 +306,7 @@
     message.m_sequence = from.sequence();
     message.m_relay = from.pass_on();
     message.m_state.m_policy_version = from.policy_version();
+    message.m_state.m_policy_position = {from.policy_era(), from.policy_end()};
     message.m_state.m_directory_offset = from.directory_change();
     message.m_state.m_is_store_reader = from.is_following();
     message.m_state.m_reaches_store = from.has_store();
--- a/src/gossip_message.hpp
+++ b/src/gossip_message.hpp
@@ -35,6 +35,8 @@
 struct replica_status
 {
     config_version m_policy_version = 0;
+    /// In the policy's topic, after the last record that was read.
+    log_position m_policy_position;
     log_offset m_directory_offset = 0; ///< last known change
     bool m_is_store_reader = false;    ///< reads the directory from the store
     bool m_reaches_store = false;
--- a/src/gossip_service.cpp
+++ b/src/gossip_service.cpp
@@ -100,7 +100,9 @@
 choose_max_replica_age(edge_settings const& options, std::mt19937_64& random)
 {
     duration const bound = std::min(
-        options.m_policy_update_limit, options.m_upstream_update_limit);
+        {options.m_policy_update_limit,
+         options.m_evacuation_limit,
+         options.m_upstream_update_limit});
     std::uniform_real_distribution<> share{
         min_replica_age_share, max_replica_age_share};
     return std::chrono::duration_cast<duration>(share(random) * bound);
@@ -269,6 +271,7 @@
     receive_ages(now, message);
     bool const is_ahead =
         state.m_policy_version > m_status.m_state.m_policy_version ||
+        state.m_policy_position > m_status.m_state.m_policy_position ||
         (state.m_is_store_reader &&
          state.m_directory_offset > m_status.m_state.m_directory_offset);
     if (is_ahead && now - m_newer_reported_at >= newer_peer_interval)
@@ -290,7 +293,7 @@
     if (ages.m_policy)
     {
         freshness.m_policy.confirm(
-            state.m_policy_version, now - *ages.m_policy);
+            state.m_policy_position.m_offset, now - *ages.m_policy);
     }
     if (ages.m_directory)
     {
@@ -569,16 +572,17 @@
     auto const& state = update.m_state;
     bool const is_new_version =
         state.m_policy_version != m_status.m_state.m_policy_version ||
+        state.m_policy_position != m_status.m_state.m_policy_position ||
         state.m_directory_offset != m_status.m_state.m_directory_offset;
     m_status = update;
     bool const was_fresh = runtime_clock::now() < freshness_expiry();
     auto& freshness = m_state->m_freshness;
-    freshness.m_policy.set_version(state.m_policy_version);
+    freshness.m_policy.set_version(state.m_policy_position.m_offset);
     freshness.m_directory.set_version(state.m_directory_offset);
     if (update.m_policy_read_at)
     {
         freshness.m_policy.confirm(
-            state.m_policy_version, *update.m_policy_read_at);
+            state.m_policy_position.m_offset, *update.m_policy_read_at);
     }
     if (update.m_directory_read_at)
     {
--- a/src/load_balancer.cpp
+++ b/src/load_balancer.cpp
@@ -256,9 +256,55 @@
     return best->m_entry;
 }
 
-bool load_balancer::is_open(time_point now, upstream_state const& entry)
+void load_balancer::set_evacuated(std::set<failure_domain> domains)
 {
-    return !entry.m_is_draining && now >= entry.m_closed_until &&
+    m_evacuated = std::move(domains);
+}
+
+std::size_t load_balancer::upstreams_in(failure_domain const& domain) const
+{
+    auto const count = std::ranges::count_if(
+        m_slots,
+        [&domain](auto const& item)
+        {
+            return item.second.m_entry.m_upstream.m_failure_domain == domain;
+        });
+    return static_cast<std::size_t>(count);
+}
+
+bool load_balancer::is_evacuated(service_name const& service) const
+{
+    auto const found = m_by_service.find(service);
+    if (found == m_by_service.end())
+    {
+        return false;
+    }
+    bool has_evacuated = false;
+    for (auto const tag : found->second)
+    {
+        auto const& entry = m_slots.at(tag);
+        if (entry.m_is_draining)
+        {
+            continue;
+        }
+        if (!is_evacuated(entry))
+        {
+            return false;
+        }
+        has_evacuated = true;
+    }
+    return has_evacuated;
+}
+
+bool load_balancer::is_evacuated(upstream_state const& entry) const
+{
+    return m_evacuated.contains(entry.m_entry.m_upstream.m_failure_domain);
+}
+
+bool load_balancer::is_open(time_point now, upstream_state const& entry) const
+{
+    return !entry.m_is_draining && !is_evacuated(entry) &&
+           now >= entry.m_closed_until &&
            entry.m_rate_limiter.wait(now) == duration::zero();
 }
 
@@ -545,7 +591,7 @@
     for (auto const tag : found->second)
     {
         auto const& entry = m_slots.at(tag);
-        if (entry.m_is_draining)
+        if (entry.m_is_draining || is_evacuated(entry))
         {
             continue;
         }
--- a/src/load_balancer.hpp
+++ b/src/load_balancer.hpp
@@ -18,6 +18,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -92,10 +93,21 @@
     /// set keeps its state, also if its entry was missing for a while.
     void set_upstreams(time_point now, std::span<upstream_entry const> entries);
 
+    /// Replaces the failure domains whose upstreams get no requests. The set
+    /// may name domains without upstreams.
+    void set_evacuated(std::set<failure_domain> domains);
+
+    /// Number of upstreams in the failure domain.
+    [[nodiscard]] std::size_t upstreams_in(failure_domain const& domain) const;
+
+    /// True if the service has upstreams that would take requests, and all of
+    /// them are in evacuated failure domains.
+    [[nodiscard]] bool is_evacuated(service_name const& service) const;
+
     /// The upstream with the lowest cost by failure probability, load and
     /// failure domain. A few non-idempotent requests test upstreams that may
     /// have recovered instead. Nullopt if each one is excluded, draining,
-    /// closed, full or at its rate limit.
+    /// evacuated, closed, full or at its rate limit.
     std::optional<upstream_entry>
     select_upstream(time_point now, selection_context const& request);
 
@@ -130,7 +142,7 @@
     void set_reachable_share(time_point now, double share);
 
     /// Time until an upstream of the service is open and within its rate limit;
-    /// zero if one is, or if all are draining.
+    /// zero if one is, or if all are draining or evacuated.
     [[nodiscard]] duration
     availability_wait(time_point now, service_name const& service) const;
 
@@ -227,8 +239,9 @@
         time_point m_removed{};
     };
 
-    [[nodiscard]] static bool
-    is_open(time_point now, upstream_state const& entry);
+    [[nodiscard]] bool
+    is_open(time_point now, upstream_state const& entry) const;
+    [[nodiscard]] bool is_evacuated(upstream_state const& entry) const;
     [[nodiscard]] upstream_state const*
     select_trial(time_point now, std::span<upstream_tag const> tags);
     [[nodiscard]] double cost(
@@ -261,6 +274,7 @@
     double m_reachable_share = 1.0;
     std::mt19937_64 m_random;
     idle_connection_check m_has_idle_connection;
+    std::set<failure_domain> m_evacuated;
     std::map<upstream_tag, upstream_state> m_slots; ///< the endpoint set
     std::map<upstream_tag, unlisted_upstream> m_unlisted;
     std::unordered_map<upstream_tag, imported_estimate> m_imported;
--- a/src/result_code.hpp
+++ b/src/result_code.hpp
@@ -63,6 +63,7 @@
     archive_incomplete = 5009,
     deadline_passed_running = 5010,
     all_upstreams_shed = 5011,
+    upstreams_evacuated = 5012,
 
     starting = 6001,
     configuration_stale = 6002,
--- a/src/state_sync.cpp
+++ b/src/state_sync.cpp
@@ -120,7 +120,8 @@
                   "upstream_entry_rejected",
                   {{"key", key}, {"reason", reason}});
           }),
-      m_policy_timer(io), m_upstreams_timer(io), m_removal_timer(io)
+      m_policy_timer(io), m_upstreams_timer(io), m_removal_timer(io),
+      m_order_timer(io)
 {
 }
 
@@ -138,6 +139,7 @@
     m_policy_timer.cancel();
     m_upstreams_timer.cancel();
     m_removal_timer.cancel();
+    m_order_timer.cancel();
     m_server.stop();
 }
 
@@ -302,9 +304,10 @@
     store_result result;
     milliseconds wait{0};
     auto const sent = runtime_clock::now();
-    auto const usual_wait =
-        m_options.m_policy_update_limit / waits_per_policy_bound;
-    if (m_policy_offset && is_recent(m_policy_read_at, sent, usual_wait))
+    auto const usual_wait = policy_wait();
+    bool const is_snapshot =
+        !m_policy_offset || !is_recent(m_policy_read_at, sent, usual_wait);
+    if (!is_snapshot)
     {
         wait = usual_wait;
         result =
@@ -327,6 +330,7 @@
     record_store_success(runtime_clock::now());
     auto const& page = std::get<store_page>(result);
     m_policy_offset = page.m_end;
+    apply_orders(is_snapshot, page);
     for (auto const& record : page.m_records)
     {
         if (record.m_value)
@@ -343,6 +347,105 @@
     co_return true;
 }
 
+milliseconds state_sync::policy_wait() const
+{
+    return std::min(
+               m_options.m_policy_update_limit, m_options.m_evacuation_limit) /
+           waits_per_policy_bound;
+}
+
+/// Applies the evacuation orders of a page of the policy's topic. They count
+/// before a policy of the same page, so that a VM that starts does not serve
+/// requests without them.
+void state_sync::apply_orders(bool is_snapshot, store_page const& page)
+{
+    std::vector<evacuation_record> records;
+    std::set<failure_domain> ordered;
+    for (auto const& record : page.m_records)
+    {
+        auto const decoded = m_store.decode_evacuation(record.m_key);
+        if (!decoded)
+        {
+            continue;
+        }
+        if (auto const* failure = std::get_if<decode_failure>(&*decoded))
+        {
+            m_metrics.get_counter("briarhub_evacuation_orders_rejected_total")
+                .add();
+            m_events.write(
+                "evacuation_order_rejected",
+                {{"key", record.m_key}, {"reason", failure->m_reason}});
+            continue;
+        }
+        auto const& domain = std::get<failure_domain>(*decoded);
+        bool const is_evacuated = record.m_value.has_value();
+        records.push_back({domain, is_evacuated, record.m_offset});
+        if (is_evacuated)
+        {
+            ordered.insert(domain);
+        }
+    }
+    log_position const position{page.m_era, page.m_end};
+    bool const is_changed =
+        is_snapshot ? m_orders.replace(runtime_clock::now(), position, ordered)
+                    : m_orders.apply(position, records);
+    publish_orders(is_changed, "store");
+}
+
+void state_sync::adopt_orders(
+    endpoint_address const& peer, wire::StateReply const& state)
+{
+    std::set<failure_domain> const ordered{
+        state.evacuated_domains().begin(), state.evacuated_domains().end()};
+    bool const is_changed = m_orders.replace(
+        runtime_clock::now(),
+        {state.policy_era(), state.policy_end()},
+        ordered);
+    publish_orders(is_changed, peer);
+}
+
+/// Publishes the evacuated domains if they changed. `source` is the store, a
+/// peer's address or the reason, for the log.
+void state_sync::publish_orders(bool is_changed, std::string_view source)
+{
+    m_status.m_policy_position = m_orders.position();
+    schedule_order_expiry();
+    if (!is_changed)
+    {
+        return;
+    }
+    auto domains = m_orders.domains();
+    m_events.write(
+        "evacuation_replicated",
+        {{"domains", boost::json::array(domains.begin(), domains.end())},
+         {"era", m_orders.position().m_era},
+         {"offset", m_orders.position().m_offset},
+         {"source", source}});
+    m_on_event(evacuation_event{std::move(domains)});
+}
+
+/// Orders that a store lost when it returned from an older copy end at their
+/// time whether or not this VM reads the store then.
+void state_sync::schedule_order_expiry()
+{
+    auto const due = m_orders.next_expiry();
+    if (!due || m_is_stopped)
+    {
+        m_order_timer.cancel();
+        return;
+    }
+    m_order_timer.expires_at(*due);
+    m_order_timer.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                publish_orders(
+                    m_orders.remove_expired(runtime_clock::now()), "expired");
+            }
+        });
+}
+
 /// Adopts a policy that is newer than the current one. `source` is the store or
 /// a peer's address, for the log.
 void state_sync::apply_policy(
@@ -580,6 +683,7 @@
 bool state_sync::is_behind(replica_status const& other) const
 {
     return other.m_policy_version > m_status.m_policy_version ||
+           other.m_policy_position > m_orders.position() ||
            other.m_directory_offset > m_directory.last_change();
 }
 
@@ -644,6 +748,8 @@
     auto const sent = runtime_clock::now();
     wire::StateRequest request;
     request.set_policy_version(m_status.m_policy_version);
+    request.set_policy_era(m_orders.position().m_era);
+    request.set_policy_end(m_orders.position().m_offset);
     request.set_directory_change(m_directory.last_change());
     request.set_policy_only(!wants_directory);
     auto const reply = co_await m_client.request(
@@ -693,6 +799,7 @@
             "state_fetch_failed", {{"peer", peer}, {"reason", "malformed"}});
         return;
     }
+    adopt_orders(peer, state);
     if (state.has_policy())
     {
         apply_compressed_policy(peer, state);
@@ -748,6 +855,17 @@
         reply.set_policy(m_compressed_policy);
         reply.set_policy_size(m_policy_size);
     }
+    log_position const known_position{
+        request.policy_era(), request.policy_end()};
+    if (m_orders.position() > known_position)
+    {
+        reply.set_policy_era(m_orders.position().m_era);
+        reply.set_policy_end(m_orders.position().m_offset);
+        for (auto const& domain : m_orders.ordered())
+        {
+            reply.add_evacuated_domains(domain);
+        }
+    }
     auto const known = request.directory_change();
     if (!request.policy_only() && m_directory.last_change() > known)
     {
--- a/src/state_sync.hpp
+++ b/src/state_sync.hpp
@@ -5,6 +5,7 @@
 /// or from peers, and serves both to peers. Runs on the control thread.
 
 #include "edge_settings.hpp"
+#include "evacuation_orders.hpp"
 #include "event_log.hpp"
 #include "fleet_store.hpp"
 #include "gossip_service.hpp"
@@ -18,6 +19,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,6 +38,12 @@
     std::unique_ptr<fleet_policy> m_policy;
 };
 
+/// To the traffic thread: the evacuated failure domains changed.
+struct evacuation_event
+{
+    std::set<failure_domain> m_domains;
+};
+
 /// To the traffic thread: the set of upstreams that may receive requests
 /// changed.
 struct upstreams_event
@@ -66,6 +74,7 @@
 
 using state_event = std::variant<
     policy_event,
+    evacuation_event,
     upstreams_event,
     replica_status_event,
     members_event,
@@ -117,6 +126,12 @@
         std::string_view key, std::string_view value, std::string_view source);
     void apply_compressed_policy(
         endpoint_address const& peer, wire::StateReply const& state);
+    void apply_orders(bool is_snapshot, store_page const& page);
+    void
+    adopt_orders(endpoint_address const& peer, wire::StateReply const& state);
+    void publish_orders(bool is_changed, std::string_view source);
+    void schedule_order_expiry();
+    [[nodiscard]] std::chrono::milliseconds policy_wait() const;
     void publish_read(bool is_changed);
     void publish_directory(bool is_changed);
     void schedule_removals();
@@ -143,6 +158,7 @@
     peer_client m_client;
     peer_server m_server;
     upstream_directory m_directory;
+    evacuation_orders m_orders;
     std::string m_policy_key;
     /// Record value from the store, compressed for peers: links of small VMs
     /// carry few copies of a large configuration.
@@ -159,6 +175,7 @@
     timer m_policy_timer;
     timer m_upstreams_timer;
     timer m_removal_timer;          ///< until the next deferred removal is due
+    timer m_order_timer;            ///< until a lost order expires
     unsigned m_running_fetches = 0; ///< from peers
     unsigned m_failed_fetches = 0;  ///< since the last successful one
     time_point m_next_fetch{};
--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -233,6 +233,13 @@
         text = json.dumps({"version": self.version, "resources": resources})
         await (put or self.store.put)("keyed.op", "config", text.encode())
 
+    async def evacuate(self, failure_domain):
+        """Orders that no request reaches upstreams of the failure domain."""
+        await self.store.put("keyed.op", f"evacuate/{failure_domain}", b"{}")
+
+    async def end_evacuation(self, failure_domain):
+        await self.store.put("keyed.op", f"evacuate/{failure_domain}", None)
+
     @staticmethod
     async def wait_until(condition, timeout_s=5.0):
         """Polls until the condition holds; fails the test after the timeout."""
