Test callers, upstreams and peers that send what never becomes a message

Callers that sent trailers without an end ended processes: they ran out of memory. Endless heads, and endless requests to the caller port of briarhub, are bounded already.

--- a/tests/edge/stand_ins.py
+++ b/tests/edge/stand_ins.py
@@ -275,6 +275,14 @@
         b"x" * 65536),
 }
 
+# Per fault, the start of a response, which is followed by HELD_BYTES and then by nothing.
+HELD_RESPONSES = {
+    "held_head": "HTTP/1.1 200 X\r\nHEADX-Long: ",
+    "held_trailer": ENDLESS_RESPONSES["endless_trailer"][0],
+    "held_extension": ENDLESS_RESPONSES["endless_extension"][0],
+}
+HELD_BYTES = 250_000
+
 
 class Upstream(Server):
     """An upstream that registers itself in the store and records its runs."""
@@ -336,6 +344,12 @@
         except ConnectionError:
             pass
 
+    async def send_held_response(self, writer, fault, response_headers):
+        head = "".join(f"{name}: {value}\r\n" for name, value in response_headers.items())
+        writer.write(HELD_RESPONSES[fault].replace("HEAD", head).encode() + b"x" * HELD_BYTES)
+        await writer.drain()
+        await asyncio.sleep(30)
+
     def notice_headers(self):
         """Fields that tell about the upstream itself, in every response."""
         headers = {}
@@ -439,6 +453,9 @@
             elif fault in ENDLESS_RESPONSES:
                 await self.send_endless_response(writer, fault, response_headers)
                 return
+            elif fault in HELD_RESPONSES:
+                await self.send_held_response(writer, fault, response_headers)
+                return
             elif fault == "large":
                 writer.write(encode_response(200, response_headers, b"x" * 6_000_000))
             else:
