Drop the trailers of requests

A trailer could set or repeat a field of its request: the key, the request ID or the deadline. A caller whose trailers repeat the request ID got 502 although the upstream had run the request once.

The head of the request was copied from the parser after the body, when the parser had added the trailers to its fields. It is taken before the body now, so that trailers stay in the parser.

hostile_trailers_inside_the_limits: 502 before, passes after.

--- a/src/edge_session.cpp
+++ b/src/edge_session.cpp
@@ -299,21 +299,22 @@
     {
         co_return read_failure{code};
     }
+    m_keep_alive = parser.get().keep_alive();
+    edge_request request;
+    // The parser adds trailers to its own fields, which are dropped: a trailer
+    // must not set or repeat a field on which the filters decide.
+    request.m_head = std::move(parser.get().base());
     start_timeout(limits.m_header_timeout * body_timeout_factor);
-    buffer_reservation body_buffer{m_state->m_buffers};
-    auto const body_error = co_await read_body(parser, body_buffer);
+    request.m_body_buffer = buffer_reservation{m_state->m_buffers};
+    auto const body_error = co_await read_body(parser, request);
     cancel_timeout();
     if (body_error)
     {
         co_return read_failure{
             *body_error == result_code::ok ? std::nullopt : body_error};
     }
-    m_keep_alive = parser.get().keep_alive();
-    edge_request request;
-    request.m_head = parser.get().base();
     request.m_body =
         std::make_shared<std::string const>(std::move(parser.get().body()));
-    request.m_body_buffer = std::move(body_buffer);
     request.m_id =
         to_view(request.m_head[m_state->m_header_names.m_request_id]);
     request.m_received = runtime_clock::now();
@@ -323,15 +324,16 @@
 /// Returns nullopt when the body is complete and `ok` when the caller
 /// disconnected.
 asio::awaitable<std::optional<result_code>>
-edge_session::read_body(request_parser& parser, buffer_reservation& buffer)
+edge_session::read_body(request_parser& parser, edge_request& request)
 {
+    auto& buffer = request.m_body_buffer;
     parser.eager(true);
     if (!reserve_body(buffer, parser.content_length().value_or(0)))
     {
         co_return result_code::overloaded;
     }
     bool const expects_continue =
-        !parser.get()[http::field::expect].empty() && !parser.is_done();
+        !request.m_head[http::field::expect].empty() && !parser.is_done();
     if (expects_continue && m_input.empty())
     {
         co_await asio::async_write(
--- a/src/edge_session.hpp
+++ b/src/edge_session.hpp
@@ -58,7 +58,7 @@
     boost::asio::awaitable<bool> serve_request();
     boost::asio::awaitable<read_outcome> read_request();
     boost::asio::awaitable<std::optional<result_code>>
-    read_body(request_parser& parser, buffer_reservation& buffer);
+    read_body(request_parser& parser, edge_request& request);
     boost::asio::awaitable<bool> read_more();
     boost::asio::awaitable<edge_reply> process_request(edge_request& request);
     boost::asio::awaitable<void> wait_for_state();
--- a/tests/edge/hostile_callers_test.py
+++ b/tests/edge/hostile_callers_test.py
@@ -56,7 +56,7 @@
 
 def check_process(process, what, memory_mb=MEMORY_MB):
     """Checks that the process lives within its memory and its descriptors."""
-    check(process.poll() is None, f"{what}: the process ended")
+    check(process.poll() is None, f"{what}: the process ended with {process.poll()}")
     peak_mb = peak_memory_mb(process.pid)
     descriptors = len(os.listdir(f"/proc/{process.pid}/fd"))
     print(f"  {what}: peak memory {peak_mb:.0f} of {memory_mb} MB", flush=True)
