Bound the trailers and chunk headers of requests

A caller that sent trailers, a chunk extension or a chunk size without an end took memory until the body timeout of 30 s: the parser consumes neither before it is complete, and the session kept what was not consumed. 20 callers with 6 MB each took a process to 87 to 108 MB; two VMs passed their memory limits within 20 s.

Input that is not body data may have max_header_bytes now. Beyond that the request is refused, with 431 for trailers and 400 for a chunk header, and the connection is closed.

--- a/src/edge_session.cpp
+++ b/src/edge_session.cpp
@@ -76,6 +76,21 @@
     return policy ? policy->policy().m_limits : caller_limits{};
 }
 
+/// Code for input after a request's head that exceeds the limit of a head and
+/// is not body data. It starts with a chunk header, or if that is complete,
+/// with the last one and its trailers.
+result_code framing_error_code(std::string_view unparsed)
+{
+    constexpr std::string_view line_end = "\r\n";
+    if (unparsed.starts_with(line_end))
+    {
+        unparsed.remove_prefix(line_end.size());
+    }
+    return unparsed.find(line_end) == std::string_view::npos
+               ? result_code::malformed_request
+               : result_code::header_too_large;
+}
+
 /// Reserves space for a body. Each connection may hold one chunk without, so
 /// requests with short bodies are not affected by long ones.
 bool reserve_body(buffer_reservation& buffer, std::uint64_t size)
@@ -327,6 +342,7 @@
 edge_session::read_body(request_parser& parser, edge_request& request)
 {
     auto& buffer = request.m_body_buffer;
+    auto const max_framing_bytes = limits_of(*m_state).m_max_header_bytes;
     parser.eager(true);
     if (!reserve_body(buffer, parser.content_length().value_or(0)))
     {
@@ -356,6 +372,11 @@
         {
             break;
         }
+        // Body data is always parsed, so this is a chunk header or trailers.
+        if (m_input.size() > max_framing_bytes)
+        {
+            co_return framing_error_code(m_input);
+        }
         if (!co_await read_more())
         {
             co_return m_is_timed_out ? result_code::caller_too_slow
