Count heads and unparsed input towards the buffer budget

Unfinished requests within the limits, and idle connections, together took more than the memory of a small VM. Heads and unparsed input were not counted, bodies only above 16 KiB, each connection held a read buffer of 16 KiB in its coroutine frame while it waited, and the input kept its capacity.

A read waits before it uses a buffer that all connections of the thread share; input_buffer frees its memory when it is empty. Heads, bodies and unparsed input are counted. 2 KiB of each are free, so that ordinary requests are served while others use up the budget, and long messages leave an eighth of it to short ones.

--- a/src/buffer_budget.cpp
+++ b/src/buffer_budget.cpp
@@ -39,8 +39,10 @@
         return false;
     }
     auto const others = m_budget->m_reserved - m_bytes;
-    bool const has_room =
-        bytes <= m_bytes || others + bytes <= m_budget->m_capacity;
+    auto const capacity = bytes <= short_message_bytes
+                              ? m_budget->m_capacity
+                              : m_budget->m_long_capacity;
+    bool const has_room = bytes <= m_bytes || others + bytes <= capacity;
     if (!has_room)
     {
         return false;
--- a/src/buffer_budget.hpp
+++ b/src/buffer_budget.hpp
@@ -1,7 +1,7 @@
 #ifndef BRIARHUB_BUFFER_BUDGET_HPP
 #define BRIARHUB_BUFFER_BUDGET_HPP
 
-/// Limits the bytes of message bodies that a process holds in memory at once,
+/// Limits the bytes of messages that a process holds in memory at once,
 /// over all of its connections. Used by one thread.
 
 #include <cstddef>
@@ -9,11 +9,18 @@
 namespace briarhub
 {
 
+/// Longer messages leave an eighth of the capacity to the others, so that a few
+/// long ones do not use up all of the space.
+inline constexpr std::size_t short_message_bytes = 16UL * 1024;
+inline constexpr std::size_t short_message_share = 8; ///< one in this many
+
 class buffer_budget
 {
 public:
     /// `capacity` in bytes.
-    explicit buffer_budget(std::size_t capacity) : m_capacity(capacity)
+    explicit buffer_budget(std::size_t capacity)
+        : m_capacity(capacity),
+          m_long_capacity(capacity - capacity / short_message_share)
     {
     }
 
@@ -27,6 +34,7 @@
     friend class buffer_reservation;
 
     std::size_t const m_capacity;
+    std::size_t const m_long_capacity; ///< for messages that are not short
     std::size_t m_reserved = 0;
 };
 
--- a/src/edge_session.cpp
+++ b/src/edge_session.cpp
@@ -36,7 +36,8 @@
 
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 
-constexpr std::size_t read_chunk_bytes = 16 * 1024;
+/// A request's head is in memory twice while it is sent to an upstream.
+constexpr std::size_t head_copies = 2;
 
 /// A caller that does not read a response within this time is disconnected.
 constexpr std::chrono::seconds write_timeout{10};
@@ -91,14 +92,6 @@
                : result_code::header_too_large;
 }
 
-/// Reserves space for a body. Each connection may hold one chunk without, so
-/// requests with short bodies are not affected by long ones.
-bool reserve_body(buffer_reservation& buffer, std::uint64_t size)
-{
-    return size <= read_chunk_bytes ||
-           buffer.resize(static_cast<std::size_t>(size));
-}
-
 /// Counts a request as active during its lifetime.
 class active_request_scope
 {
@@ -135,9 +128,11 @@
 edge_session::edge_session(
     asio::ip::tcp::socket socket, std::shared_ptr<edge_state> state)
     : m_socket(std::move(socket)), m_state(std::move(state)),
-      m_timer(m_state->m_io)
+      m_input(m_state->m_buffers), m_timer(m_state->m_io)
 {
     set_socket_options(m_socket);
+    error_code ignored;
+    m_socket.non_blocking(true, ignored);
 }
 
 void edge_session::start()
@@ -269,7 +264,7 @@
     start_timeout(
         m_input.empty() ? duration{limits.m_idle_timeout}
                         : duration{limits.m_header_timeout});
-    head_scan scan = scan_head(m_input, limits.m_max_header_bytes);
+    head_scan scan = scan_head(m_input.view(), limits.m_max_header_bytes);
     while (scan.m_length == 0 && scan.m_code == result_code::ok)
     {
         bool const was_empty = m_input.empty();
@@ -277,6 +272,10 @@
         {
             bool const is_late = m_is_timed_out && !m_input.empty();
             cancel_timeout();
+            if (m_is_out_of_space)
+            {
+                co_return read_failure{result_code::overloaded};
+            }
             co_return read_failure{
                 is_late ? std::optional{result_code::caller_too_slow}
                         : std::nullopt};
@@ -286,13 +285,13 @@
             m_is_idle = false;
             start_timeout(limits.m_header_timeout);
         }
-        scan = scan_head(m_input, limits.m_max_header_bytes);
+        scan = scan_head(m_input.view(), limits.m_max_header_bytes);
     }
     m_is_idle = false;
     if (scan.m_code == result_code::ok)
     {
         scan.m_code = validate_raw_head(
-            {m_input.data(), scan.m_length}, limits.m_max_header_bytes);
+            m_input.view().substr(0, scan.m_length), limits.m_max_header_bytes);
     }
     if (scan.m_code != result_code::ok)
     {
@@ -302,13 +301,13 @@
     parser.header_limit(static_cast<std::uint32_t>(limits.m_max_header_bytes));
     parser.body_limit(limits.m_max_body_bytes);
     error_code error;
-    parser.put(asio::buffer(m_input.data(), scan.m_length), error);
+    parser.put(asio::buffer(m_input.view().data(), scan.m_length), error);
     if ((error && error != http::error::need_more) || !parser.is_header_done())
     {
         co_return read_failure{
             error ? parse_error_code(error) : result_code::malformed_request};
     }
-    m_input.erase(0, scan.m_length);
+    m_input.consume(scan.m_length);
     auto const code = validate_head(parser.get().base());
     if (code != result_code::ok)
     {
@@ -321,7 +320,8 @@
     request.m_head = std::move(parser.get().base());
     start_timeout(limits.m_header_timeout * body_timeout_factor);
     request.m_body_buffer = buffer_reservation{m_state->m_buffers};
-    auto const body_error = co_await read_body(parser, request);
+    auto const body_error =
+        co_await read_body(parser, request, head_copies * scan.m_length);
     cancel_timeout();
     if (body_error)
     {
@@ -338,13 +338,14 @@
 
 /// Returns nullopt when the body is complete and `ok` when the caller
 /// disconnected.
-asio::awaitable<std::optional<result_code>>
-edge_session::read_body(request_parser& parser, edge_request& request)
+asio::awaitable<std::optional<result_code>> edge_session::read_body(
+    request_parser& parser, edge_request& request, std::size_t head_bytes)
 {
     auto& buffer = request.m_body_buffer;
     auto const max_framing_bytes = limits_of(*m_state).m_max_header_bytes;
     parser.eager(true);
-    if (!reserve_body(buffer, parser.content_length().value_or(0)))
+    if (!reserve_message(
+            buffer, head_bytes + parser.content_length().value_or(0)))
     {
         co_return result_code::overloaded;
     }
@@ -358,13 +359,15 @@
     while (!parser.is_done())
     {
         error_code error;
-        std::size_t const used = parser.put(asio::buffer(m_input), error);
-        m_input.erase(0, used);
+        std::size_t const used =
+            parser.put(asio::buffer(m_input.view()), error);
+        m_input.consume(used);
         if (error && error != http::error::need_more)
         {
             co_return parse_error_code(error);
         }
-        if (!reserve_body(buffer, parser.get().body().capacity()))
+        if (!reserve_message(
+                buffer, head_bytes + parser.get().body().capacity()))
         {
             co_return result_code::overloaded;
         }
@@ -373,12 +376,16 @@
             break;
         }
         // Body data is always parsed, so this is a chunk header or trailers.
-        if (m_input.size() > max_framing_bytes)
+        if (m_input.view().size() > max_framing_bytes)
         {
-            co_return framing_error_code(m_input);
+            co_return framing_error_code(m_input.view());
         }
         if (!co_await read_more())
         {
+            if (m_is_out_of_space)
+            {
+                co_return result_code::overloaded;
+            }
             co_return m_is_timed_out ? result_code::caller_too_slow
                                      : result_code::ok;
         }
@@ -386,23 +393,23 @@
     co_return std::nullopt;
 }
 
-/// Appends received bytes to the input. Returns false on a timeout or when the
-/// connection ends.
+/// Appends received bytes to the input. Returns false on a timeout, when the
+/// connection ends or when there is no buffer space.
 asio::awaitable<bool> edge_session::read_more()
 {
     if (m_close_requested && m_is_idle && m_input.empty())
     {
         co_return false;
     }
-    std::array<char, read_chunk_bytes> chunk;
-    auto [error, bytes] =
-        co_await m_socket.async_read_some(asio::buffer(chunk), use_tuple);
+    auto [error] = co_await m_socket.async_wait(
+        asio::ip::tcp::socket::wait_read, use_tuple);
     if (error)
     {
         co_return false;
     }
-    m_input.append(chunk.data(), bytes);
-    co_return true;
+    auto const result = read_available(m_socket, m_input);
+    m_is_out_of_space = result == input_read::no_space;
+    co_return result == input_read::received;
 }
 
 /// Detects a caller that disconnects while its request is in progress.
@@ -573,7 +580,7 @@
     start_timeout(linger_timeout);
     for (bool is_open = true; is_open;)
     {
-        m_input.clear();
+        m_input.consume(m_input.view().size());
         is_open = co_await read_more();
     }
     cancel_timeout();
--- a/src/edge_session.hpp
+++ b/src/edge_session.hpp
@@ -6,6 +6,7 @@
 
 #include "edge_request.hpp"
 #include "edge_state.hpp"
+#include "input_buffer.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -57,8 +58,8 @@
     boost::asio::awaitable<void> serve();
     boost::asio::awaitable<bool> serve_request();
     boost::asio::awaitable<read_outcome> read_request();
-    boost::asio::awaitable<std::optional<result_code>>
-    read_body(request_parser& parser, edge_request& request);
+    boost::asio::awaitable<std::optional<result_code>> read_body(
+        request_parser& parser, edge_request& request, std::size_t head_bytes);
     boost::asio::awaitable<bool> read_more();
     boost::asio::awaitable<edge_reply> process_request(edge_request& request);
     boost::asio::awaitable<void> wait_for_state();
@@ -82,11 +83,12 @@
     boost::asio::ip::tcp::socket m_socket;
     std::shared_ptr<edge_state> m_state;
     disconnect_monitor m_caller;
-    std::string m_input;
+    input_buffer m_input;
     timer m_timer;
     std::uint64_t m_timer_generation = 0;
     bool m_is_idle = false;
     bool m_is_timed_out = false;
+    bool m_is_out_of_space = false; ///< the last read had no buffer space
     bool m_keep_alive = true;
     bool m_is_chunked = false;
     bool m_close_requested = false;
