Bound requests to the ports for readiness and counters

Trailers, chunk extensions and bodies without an end at these ports were kept without a limit: 20 connections took a process to 103 MB.

Requests have no body there and heads have up to 8 KiB. The connections are limited; one more closes the one whose last request is the oldest, so that connections without requests do not keep readiness checks away.

--- a/src/status_server.cpp
+++ b/src/status_server.cpp
@@ -12,6 +12,10 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+#include <cstdint>
+#include <list>
+#include <memory>
 #include <utility>
 
 namespace briarhub
@@ -31,6 +35,16 @@
 
 constexpr std::chrono::milliseconds accept_retry_delay{100};
 
+/// Requests have no body, and only their path is read.
+constexpr std::uint32_t max_request_bytes = 8 * 1024;
+
+/// With a request of the largest size on each, connections hold 1 MiB. One
+/// more closes the connection whose last request is the oldest, so that
+/// connections without requests do not keep readiness checks away.
+constexpr std::size_t max_connections = 128;
+
+using stream_list = std::list<std::shared_ptr<beast::tcp_stream>>;
+
 } // namespace
 
 struct status_server::implementation
@@ -53,10 +67,7 @@
                 co_await self->m_acceptor.async_accept(use_tuple);
             if (!error)
             {
-                asio::co_spawn(
-                    self->m_io,
-                    serve(self, beast::tcp_stream{std::move(socket)}),
-                    asio::detached);
+                self->add_connection(std::move(socket));
                 continue;
             }
             timer retry_timer{self->m_io, accept_retry_delay};
@@ -64,23 +75,46 @@
         }
     }
 
-    static asio::awaitable<void>
-    serve(std::shared_ptr<implementation> self, beast::tcp_stream stream)
+    void add_connection(tcp::socket socket)
     {
-        beast::flat_buffer buffer;
+        if (m_streams.size() >= max_connections)
+        {
+            m_streams.front()->close();
+            m_streams.pop_front();
+        }
+        auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
+        m_streams.push_back(stream);
+        asio::co_spawn(
+            m_io, serve(shared_from_this(), std::move(stream)), asio::detached);
+    }
+
+    static asio::awaitable<void> serve(
+        std::shared_ptr<implementation> self,
+        std::shared_ptr<beast::tcp_stream> stream)
+    {
+        co_await self->serve_requests(*stream);
+        self->m_streams.remove(stream);
+    }
+
+    asio::awaitable<void> serve_requests(beast::tcp_stream& stream)
+    {
+        beast::flat_buffer buffer{max_request_bytes};
         for (;;)
         {
-            http::request<http::string_body> request;
+            http::request_parser<http::empty_body> parser;
+            parser.header_limit(max_request_bytes);
             stream.expires_after(idle_timeout);
             auto [error, bytes] =
-                co_await http::async_read(stream, buffer, request, use_tuple);
+                co_await http::async_read(stream, buffer, parser, use_tuple);
             if (error)
             {
                 co_return;
             }
+            mark_used(stream);
+            auto const& request = parser.get();
             std::string_view const path{
                 request.target().data(), request.target().size()};
-            auto reply = self->m_on_request(path);
+            auto reply = m_on_request(path);
             http::response<http::string_body> response;
             response.result(reply.m_status);
             response.set(http::field::content_type, "text/plain");
@@ -96,9 +130,26 @@
         }
     }
 
+    /// Moves the connection to the end of those that may be closed.
+    void mark_used(beast::tcp_stream const& stream)
+    {
+        auto const used = std::find_if(
+            m_streams.begin(),
+            m_streams.end(),
+            [&stream](auto const& each)
+            {
+                return each.get() == &stream;
+            });
+        if (used != m_streams.end())
+        {
+            m_streams.splice(m_streams.end(), m_streams, used);
+        }
+    }
+
     asio::io_context& m_io;
     tcp::acceptor m_acceptor;
     handler m_on_request;
+    stream_list m_streams; ///< in the order of their last requests
 };
 
 status_server::status_server(
