Bound what connections to the port for peers hold in memory

Each of 256 streams of each of 2,048 connections could hold an unfinished message of 64 MiB, and each connection held a read buffer of 64 KiB: 20 connections took a process to 80 MB.

The messages of all connections, received and not yet sent, share a limit; a stream without space is reset. Requests of edge processes are short, so theirs have 64 KiB. A read waits before it uses a buffer that all connections share, and one connection too many closes the most silent one instead of the new one.

--- a/src/http2_connection.cpp
+++ b/src/http2_connection.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <iterator>
 #include <new>
@@ -19,6 +20,11 @@
 /// Requests and responses of peers have only a few short header fields.
 constexpr std::uint32_t max_header_list_bytes = 8 * 1024;
 
+/// Longer than each path that a server knows.
+constexpr std::size_t max_path_bytes = 256;
+
+constexpr std::size_t read_buffer_bytes = 64 * 1024;
+
 std::string_view to_text(std::uint8_t const* data, std::size_t length)
 {
     return {reinterpret_cast<char const*>(data), length};
@@ -69,7 +75,14 @@
         nghttp2_frame const* frame,
         void* user_data)
     {
-        self(user_data).m_streams.try_emplace(frame->hd.stream_id);
+        auto& connection = self(user_data);
+        auto const [stream, is_new] =
+            connection.m_streams.try_emplace(frame->hd.stream_id);
+        if (is_new)
+        {
+            stream->second.m_buffer =
+                buffer_reservation{connection.m_totals->m_held};
+        }
         return 0;
     }
 
@@ -93,11 +106,11 @@
         std::string_view const text = to_text(value, value_length);
         if (field == ":method")
         {
-            found->second.m_method = text;
+            found->second.m_method = text.substr(0, max_path_bytes);
         }
         else if (field == ":path")
         {
-            found->second.m_path = text;
+            found->second.m_path = text.substr(0, max_path_bytes);
         }
         else if (field == ":status")
         {
@@ -178,6 +191,7 @@
         {
             *flags |= NGHTTP2_DATA_FLAG_EOF;
             stream.m_body_to_send = {};
+            stream.m_buffer.release();
             stream.m_sent = 0;
         }
         return static_cast<ssize_t>(count);
@@ -249,19 +263,20 @@
 {
     boost::system::error_code ignored;
     m_socket.set_option(boost::asio::ip::tcp::no_delay{true}, ignored);
+    m_socket.non_blocking(true, ignored);
     m_started = true;
     read();
     flush();
 }
 
+/// Waits before it takes a buffer, so that an idle connection has none.
 void http2_connection::read()
 {
-    m_socket.async_read_some(
-        boost::asio::buffer(m_input),
-        [self = shared_from_this()](
-            boost::system::error_code error, std::size_t length)
+    m_socket.async_wait(
+        boost::asio::ip::tcp::socket::wait_read,
+        [self = shared_from_this()](boost::system::error_code error)
         {
-            if (error || self->m_closed || !self->process_input(length))
+            if (error || self->m_closed || !self->read_available())
             {
                 self->close();
                 return;
@@ -271,15 +286,29 @@
         });
 }
 
+/// Returns false if the connection ended or the remote end broke the protocol.
+bool http2_connection::read_available()
+{
+    // Every connection of a thread uses the buffer, one at a time.
+    thread_local std::array<std::uint8_t, read_buffer_bytes> buffer;
+    boost::system::error_code error;
+    auto const length = m_socket.read_some(boost::asio::buffer(buffer), error);
+    if (error == boost::asio::error::would_block)
+    {
+        return true;
+    }
+    return !error && process_input({buffer.data(), length});
+}
+
 /// Returns false on a protocol error of the remote end.
-bool http2_connection::process_input(std::size_t length)
+bool http2_connection::process_input(std::span<std::uint8_t const> input)
 {
-    m_totals->m_received += length;
+    m_totals->m_received += input.size();
     m_last_received = runtime_clock::now();
     on_bytes_received();
     ssize_t const consumed =
-        nghttp2_session_mem_recv(m_session, m_input.data(), length);
-    return consumed == static_cast<ssize_t>(length);
+        nghttp2_session_mem_recv(m_session, input.data(), input.size());
+    return consumed == static_cast<ssize_t>(input.size());
 }
 
 void http2_connection::flush()
@@ -372,10 +401,14 @@
         return true;
     }
     std::string& received = found->second.m_received;
-    if (received.size() + data.size() > m_max_message_bytes)
+    auto const size = received.size() + data.size();
+    auto& buffer = found->second.m_buffer;
+    bool const has_room = size <= m_max_message_bytes && buffer.resize(size);
+    if (!has_room)
     {
         found->second.m_too_large = true;
         received = {};
+        buffer.release();
     }
     if (found->second.m_too_large)
     {
@@ -407,7 +440,9 @@
         m_session, nullptr, headers.data(), headers.size(), &provider, nullptr);
     if (id >= 0)
     {
-        m_streams[id].m_body_to_send = std::move(body);
+        auto& stream = m_streams[id];
+        stream.m_body_to_send = std::move(body);
+        stream.m_buffer = buffer_reservation{m_totals->m_held};
     }
     return id;
 }
@@ -420,8 +455,13 @@
     {
         return;
     }
-    found->second.m_body_to_send = std::move(body);
     found->second.m_received = {};
+    if (!found->second.m_buffer.resize(body.size()))
+    {
+        reset_stream(id, NGHTTP2_ENHANCE_YOUR_CALM);
+        return;
+    }
+    found->second.m_body_to_send = std::move(body);
     nghttp2_data_provider provider{};
     provider.read_callback = callbacks::body;
     auto const headers = to_nvs(fields);
--- a/src/http2_connection.hpp
+++ b/src/http2_connection.hpp
@@ -5,17 +5,19 @@
 /// between a socket and an nghttp2 session and buffers each message until it is
 /// complete.
 
+#include "buffer_budget.hpp"
 #include "clock.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 
 #include <nghttp2/nghttp2.h>
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -28,8 +30,17 @@
 /// connections may outlive their owner until their last handler has run.
 struct byte_totals
 {
+    /// The messages of all streams that are in memory at once may have
+    /// `max_held` bytes.
+    explicit byte_totals(
+        std::size_t max_held = std::numeric_limits<std::size_t>::max())
+        : m_held(max_held)
+    {
+    }
+
     std::uint64_t m_sent = 0;
     std::uint64_t m_received = 0;
+    buffer_budget m_held;
 };
 
 enum class http2_role
@@ -48,6 +59,7 @@
     bool m_complete = false;  ///< the remote end sent the whole message
     bool m_too_large = false; ///< the rest of the message is discarded
     std::string m_body_to_send;
+    buffer_reservation m_buffer; ///< space of the message in memory
     std::size_t m_sent = 0;
 };
 
@@ -103,7 +115,8 @@
     std::int32_t
     submit_request(std::vector<http2_field> const& fields, std::string body);
 
-    /// Sends the response on a stream as server.
+    /// Sends the response on a stream as server. Resets the stream if there is
+    /// no space for the body.
     void submit_response(
         std::int32_t id,
         std::vector<http2_field> const& fields,
@@ -118,14 +131,14 @@
     struct callbacks;
 
     void read();
+    bool read_available();
     void write();
     bool collect_output();
-    bool process_input(std::size_t length);
+    bool process_input(std::span<std::uint8_t const> input);
     bool append_body(std::int32_t id, std::string_view data);
     void finish_message(std::int32_t id);
     void send_settings();
 
-    static constexpr std::size_t read_buffer_bytes = 64 * 1024;
     static constexpr std::size_t write_chunk_bytes = 256 * 1024;
 
     http2_role m_role;
@@ -133,7 +146,6 @@
     std::shared_ptr<byte_totals> m_totals;
     nghttp2_session* m_session = nullptr;
     std::map<std::int32_t, http2_stream> m_streams;
-    std::array<std::uint8_t, read_buffer_bytes> m_input{};
     std::string m_output;
     bool m_started = false;
     bool m_writing = false;
--- a/src/peer_rpc.cpp
+++ b/src/peer_rpc.cpp
@@ -22,9 +22,6 @@
 using detail::http2_role;
 using detail::http2_stream;
 
-/// The server closes further connections at once.
-constexpr std::size_t max_server_connections = 2048;
-
 /// Clients close their idle connections earlier. This timeout removes
 /// connections whose peer disappeared without a TCP reset.
 constexpr std::chrono::minutes server_idle_timeout{3};
@@ -274,9 +271,9 @@
         boost::asio::io_context& io,
         endpoint_address const& listen,
         peer_handler handler,
-        std::size_t max_message_bytes)
+        peer_server_limits limits)
         : m_acceptor(io, endpoint_or_throw(listen)), m_stale_check_timer(io),
-          m_handler(std::move(handler)), m_max_message_bytes(max_message_bytes)
+          m_handler(std::move(handler)), m_limits(limits)
     {
         accept();
         schedule_stale_check();
@@ -302,16 +299,19 @@
 
     void add_connection(tcp::socket socket)
     {
-        if (m_connections.size() >= max_server_connections)
+        if (m_connections.size() >= m_limits.m_max_connections)
         {
             remove_closed_connections();
         }
-        if (m_connections.size() >= max_server_connections)
+        if (m_connections.size() >= m_limits.m_max_connections)
         {
-            return;
+            close_most_silent_connection();
         }
         auto connection = std::make_shared<server_connection>(
-            std::move(socket), m_handler, m_max_message_bytes, m_totals);
+            std::move(socket),
+            m_handler,
+            m_limits.m_max_message_bytes,
+            m_totals);
         m_connections.push_back(connection);
         connection->start();
     }
@@ -327,6 +327,29 @@
             });
     }
 
+    /// Connections without requests must not keep peers away.
+    void close_most_silent_connection()
+    {
+        std::shared_ptr<server_connection> most_silent;
+        for (auto const& weak : m_connections)
+        {
+            auto connection = weak.lock();
+            bool const is_more_silent =
+                connection &&
+                (!most_silent ||
+                 connection->last_received() < most_silent->last_received());
+            if (is_more_silent)
+            {
+                most_silent = std::move(connection);
+            }
+        }
+        if (most_silent)
+        {
+            most_silent->close();
+        }
+        remove_closed_connections();
+    }
+
     void schedule_stale_check()
     {
         m_stale_check_timer.expires_after(server_stale_check_interval);
@@ -375,8 +398,9 @@
     tcp::acceptor m_acceptor;
     timer m_stale_check_timer;
     peer_handler m_handler;
-    std::size_t m_max_message_bytes;
-    std::shared_ptr<byte_totals> m_totals = std::make_shared<byte_totals>();
+    peer_server_limits m_limits;
+    std::shared_ptr<byte_totals> m_totals =
+        std::make_shared<byte_totals>(m_limits.m_max_held_bytes);
     std::vector<std::weak_ptr<server_connection>> m_connections;
     /// Handlers hold a weak pointer to detect that the server was destroyed.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
@@ -386,9 +410,9 @@
     boost::asio::io_context& io,
     endpoint_address const& listen,
     peer_handler handler,
-    std::size_t max_message_bytes)
+    peer_server_limits limits)
     : m_implementation(std::make_unique<implementation>(
-          io, listen, std::move(handler), max_message_bytes))
+          io, listen, std::move(handler), limits))
 {
 }
 
--- a/src/peer_rpc.hpp
+++ b/src/peer_rpc.hpp
@@ -46,6 +46,17 @@
     std::uint64_t m_received = 0;
 };
 
+/// Limits of what other processes can make a server hold.
+struct peer_server_limits
+{
+    std::size_t m_max_message_bytes = max_peer_message_bytes;
+    /// Messages of all connections that are in memory at once. A stream for
+    /// whose message there is no space is reset.
+    std::size_t m_max_held_bytes = 4 * max_peer_message_bytes;
+    /// One more closes the connection that has been silent for longest.
+    std::size_t m_max_connections = 2048;
+};
+
 /// Accepts connections from peers and passes their requests to the handler.
 class peer_server
 {
@@ -56,7 +67,7 @@
         boost::asio::io_context& io,
         endpoint_address const& listen,
         peer_handler handler,
-        std::size_t max_message_bytes = max_peer_message_bytes);
+        peer_server_limits limits = {});
     ~peer_server();
     peer_server(peer_server const&) = delete;
     peer_server& operator=(peer_server const&) = delete;
--- a/src/state_sync.cpp
+++ b/src/state_sync.cpp
@@ -48,6 +48,14 @@
 /// Largest configuration that is accepted from a peer.
 constexpr std::size_t max_policy_bytes = 64UL * 1024 * 1024;
 
+/// A request names the state that the peer has, in a few bytes. A response has
+/// up to some 350 kB, and 36 VMs may ask at once. Peers open a connection again
+/// when they need it.
+constexpr peer_server_limits server_limits{
+    .m_max_message_bytes = 64UL * 1024,
+    .m_max_held_bytes = 16UL * 1024 * 1024,
+    .m_max_connections = 128};
+
 /// Older data on the health of upstreams is ignored: an upstream's condition
 /// lasts about ten seconds.
 constexpr std::chrono::seconds max_health_age{30};
@@ -106,7 +114,8 @@
               peer_response_callback const& respond)
           {
               respond(handle_request(path, message));
-          }),
+          },
+          server_limits),
       m_directory(
           [this](std::string_view key, std::string_view value)
           {
--- a/tests/peer_rpc_test.cpp
+++ b/tests/peer_rpc_test.cpp
@@ -57,7 +57,11 @@
 struct rpc_fixture
 {
     boost::asio::io_context m_io;
-    peer_server m_server{m_io, "127.0.0.1:0", handle_request, 48U << 20};
+    peer_server m_server{
+        m_io,
+        "127.0.0.1:0",
+        handle_request,
+        {.m_max_message_bytes = 48U << 20}};
     peer_client m_client{m_io};
     std::string m_peer = local_address(m_server.port());
     std::vector<reply> m_replies;
