Bound the unparsed part of a response by the limit of a head

An upstream that began trailers or a chunk extension and sent no more made an attempt hold 256 KiB, four times the limit of a head: 300 attempts took a process to 100 MB. The buffers of idle connections kept their capacity.

The limit is that of a head now, and an idle connection holds no buffer.

--- a/src/connection_pool.cpp
+++ b/src/connection_pool.cpp
@@ -107,6 +107,7 @@
     auto& idle = m_idle[connection->m_address];
     if (idle.size() < max_idle_connections)
     {
+        connection->m_buffer.shrink_to_fit();
         idle.push_back(std::move(connection));
     }
 }
--- a/src/connection_pool.hpp
+++ b/src/connection_pool.hpp
@@ -24,9 +24,9 @@
 /// 300 connections, which 36 VMs share.
 inline constexpr std::size_t max_idle_connections = 8;
 
-/// Maximum number of bytes that are read and not yet parsed. Bounds the memory
-/// that an endless response head or chunk header can use.
-inline constexpr std::size_t max_buffered_bytes = 256UL * 1024;
+/// Maximum number of bytes that are read and not yet parsed: a response head, a
+/// chunk header, or trailers. As long as the longest head that is accepted.
+inline constexpr std::size_t max_buffered_bytes = 64UL * 1024;
 
 /// One connection to an upstream, used for one request at a time.
 struct upstream_connection
--- a/src/upstream_exchange.cpp
+++ b/src/upstream_exchange.cpp
@@ -36,7 +36,7 @@
 /// which TCP sends only after one second.
 constexpr std::chrono::milliseconds connect_timeout{400};
 
-constexpr std::uint32_t max_response_head_bytes = 64 * 1024;
+constexpr std::uint32_t max_response_head_bytes = max_buffered_bytes;
 constexpr std::size_t read_chunk_bytes = 16 * 1024;
 
 /// Interim responses and responses to other requests that may precede the
