Bound requests to the admin port

Trailers and chunk extensions without an end were kept without a limit, and bodies of up to 64 MiB were read before the admin token was checked: 20 connections took a process to 217 MB.

Heads, chunk headers and trailers have up to 16 KiB now, a body is read only with the token, and the connections are limited; one more closes the one whose last request is the oldest.

--- a/src/admin_server.cpp
+++ b/src/admin_server.cpp
@@ -17,7 +17,10 @@
 
 #include <openssl/crypto.h>
 
+#include <algorithm>
 #include <array>
+#include <list>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -44,6 +47,17 @@
 
 constexpr std::uint64_t max_admin_body_bytes = 64ULL * 1024 * 1024;
 
+/// Limit of a request head, of trailers and of a chunk header.
+constexpr std::uint32_t max_admin_head_bytes = 16 * 1024;
+
+/// Unread input is discarded for this long after the last response.
+constexpr std::chrono::seconds linger_timeout{1};
+constexpr std::size_t discard_chunk_bytes = 4 * 1024;
+
+/// One more closes the connection whose last request is the oldest, so that
+/// connections without requests do not keep operators away.
+constexpr std::size_t max_admin_connections = 128;
+
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 
 struct route
@@ -185,34 +199,105 @@
             }
             if (!error)
             {
-                asio::co_spawn(m_io, serve(std::move(socket)), asio::detached);
+                add_connection(std::move(socket));
             }
         }
     }
 
-    asio::awaitable<void> serve(tcp::socket socket)
+    void add_connection(tcp::socket socket)
     {
-        beast::tcp_stream stream{std::move(socket)};
-        beast::flat_buffer buffer;
-        for (;;)
+        if (m_streams.size() >= max_admin_connections)
+        {
+            m_streams.front()->close();
+            m_streams.pop_front();
+        }
+        auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
+        m_streams.push_back(stream);
+        asio::co_spawn(m_io, serve(std::move(stream)), asio::detached);
+    }
+
+    asio::awaitable<void> serve(std::shared_ptr<beast::tcp_stream> stream)
+    {
+        beast::flat_buffer buffer{max_admin_head_bytes};
+        bool is_open = true;
+        while (is_open)
         {
-            stream.expires_after(idle_timeout);
-            http::request_parser<http::string_body> parser;
-            parser.body_limit(max_admin_body_bytes);
-            auto [read_error, read_bytes] =
+            is_open = co_await serve_request(*stream, buffer);
+        }
+        m_streams.remove(stream);
+    }
+
+    /// Returns false if the connection has to be closed.
+    asio::awaitable<bool>
+    serve_request(beast::tcp_stream& stream, beast::flat_buffer& buffer)
+    {
+        stream.expires_after(idle_timeout);
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(max_admin_head_bytes);
+        parser.body_limit(max_admin_body_bytes);
+        auto [head_error, head_bytes] =
+            co_await http::async_read_header(stream, buffer, parser, use_tuple);
+        if (head_error)
+        {
+            co_return false;
+        }
+        mark_used(stream);
+        // Without the token only the head is read. The rest would be parsed as
+        // the next request, so the connection is closed.
+        bool const reads_body = is_authorized(parser.get(), m_token);
+        if (reads_body)
+        {
+            auto [body_error, body_bytes] =
                 co_await http::async_read(stream, buffer, parser, use_tuple);
-            if (read_error)
+            if (body_error)
             {
-                co_return;
+                co_return false;
             }
-            response http_response = co_await handle(parser.get());
-            stream.expires_after(idle_timeout);
-            auto [write_error, write_bytes] =
-                co_await http::async_write(stream, http_response, use_tuple);
-            if (write_error || !http_response.keep_alive())
+        }
+        response http_response = co_await handle(parser.get());
+        if (!parser.is_done())
+        {
+            http_response.keep_alive(false);
+        }
+        stream.expires_after(idle_timeout);
+        auto [write_error, write_bytes] =
+            co_await http::async_write(stream, http_response, use_tuple);
+        if (!write_error && !parser.is_done())
+        {
+            co_await discard_rest(stream);
+        }
+        co_return !write_error && http_response.keep_alive();
+    }
+
+    /// Closing a connection with unread input would reset it, and the response
+    /// could be lost.
+    static asio::awaitable<void> discard_rest(beast::tcp_stream& stream)
+    {
+        boost::system::error_code error;
+        stream.socket().shutdown(tcp::socket::shutdown_send, error);
+        stream.expires_after(linger_timeout);
+        std::array<char, discard_chunk_bytes> chunk;
+        while (!error)
+        {
+            auto [read_error, bytes] =
+                co_await stream.async_read_some(asio::buffer(chunk), use_tuple);
+            error = read_error;
+        }
+    }
+
+    /// Moves the connection to the end of those that may be closed.
+    void mark_used(beast::tcp_stream const& stream)
+    {
+        auto const used = std::find_if(
+            m_streams.begin(),
+            m_streams.end(),
+            [&stream](auto const& each)
             {
-                co_return;
-            }
+                return each.get() == &stream;
+            });
+        if (used != m_streams.end())
+        {
+            m_streams.splice(m_streams.end(), m_streams, used);
         }
     }
 
@@ -324,6 +409,8 @@
     metrics_registry const& m_metrics;
     admin_query_sender m_to_traffic;
     admin_query_sender m_to_control;
+    /// In the order of their last requests.
+    std::list<std::shared_ptr<beast::tcp_stream>> m_streams;
 };
 
 admin_server::admin_server(
