Bound the requests that a process of briarhub holds in memory

Each of 4,096 callers could hold 64 KiB of unparsed input and a body of 1 MiB, and each idle connection held a read buffer of 16 KiB.

The setting memory-limit-mb (512) is new; as in the edge process, half of it may hold heads, bodies and unparsed input. Without space a request is refused as overloaded. Connections share one read buffer and hold no input while they are idle.

--- a/src/caller_session.cpp
+++ b/src/caller_session.cpp
@@ -20,7 +20,6 @@
 #include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
-#include <array>
 #include <exception>
 #include <utility>
 
@@ -35,12 +34,17 @@
 
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 
-constexpr std::size_t read_chunk_bytes = 16 * 1024;
-
 /// Limit of buffered input while a request runs. Further input stays in the
 /// socket, so that flow control slows the caller.
 constexpr std::size_t max_input_bytes = 64 * 1024;
 
+/// A request is in memory twice while it is sent to an upstream.
+constexpr std::size_t request_copies = 2;
+
+/// Retry-After of a request that finds no buffer space. The requests that use
+/// the space are on their way to upstreams.
+constexpr duration overloaded_retry_after = std::chrono::seconds{1};
+
 /// The write timeout applies to chunks of this size, so that it limits how
 /// slowly a caller may read and not the size of a response.
 constexpr std::size_t write_chunk_bytes = 64 * 1024;
@@ -102,11 +106,12 @@
 caller_session::caller_session(
     asio::ip::tcp::socket socket, std::shared_ptr<traffic_state> state)
     : m_socket(std::move(socket)), m_state(std::move(state)),
-      m_input_timer(m_state->m_io), m_space_timer(m_state->m_io),
-      m_write_timer(m_state->m_io)
+      m_input(m_state->m_buffers), m_input_timer(m_state->m_io),
+      m_space_timer(m_state->m_io), m_write_timer(m_state->m_io)
 {
     error_code ignored;
     m_socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
+    m_socket.non_blocking(true, ignored);
 }
 
 void caller_session::start()
@@ -164,28 +169,36 @@
     m_space_timer.cancel();
 }
 
-/// Reads input continuously. Pauses while `max_input_bytes` are buffered.
+bool caller_session::is_input_full() const
+{
+    return m_is_out_of_space || m_input.view().size() >= max_input_bytes;
+}
+
+/// Reads input continuously. Pauses while `max_input_bytes` are buffered or
+/// there is no space for more.
 asio::awaitable<void> caller_session::read_input()
 {
-    std::array<char, read_chunk_bytes> chunk;
     for (;;)
     {
-        while (m_input.size() >= max_input_bytes && m_socket.is_open())
+        while (is_input_full() && m_socket.is_open())
         {
             m_space_timer.expires_at(time_point::max());
             co_await m_space_timer.async_wait(use_tuple);
         }
-        auto [error, bytes] =
-            co_await m_socket.async_read_some(asio::buffer(chunk), use_tuple);
-        if (error)
+        auto [error] = co_await m_socket.async_wait(
+            asio::ip::tcp::socket::wait_read, use_tuple);
+        auto const result =
+            error ? input_read::closed : read_available(m_socket, m_input);
+        if (result == input_read::closed)
         {
             m_caller.notify_disconnect();
             m_input_timer.cancel();
             co_return;
         }
-        if (!m_is_discarding)
+        m_is_out_of_space = result == input_read::no_space;
+        if (m_is_discarding)
         {
-            m_input.append(chunk.data(), bytes);
+            m_input.consume(m_input.view().size());
         }
         m_input_timer.cancel();
     }
@@ -231,7 +244,7 @@
     request_parser parser;
     parser.header_limit(max_head_bytes);
     parser.body_limit(max_body_bytes);
-    auto const refused = co_await read_head(parser);
+    auto const refused = co_await read_head(parser, context);
     if (refused && m_caller.is_disconnected())
     {
         co_return false;
@@ -240,13 +253,15 @@
     {
         co_return co_await write_refusal(context, *refused, false);
     }
-    context.m_head = parser.get().base();
-    co_return co_await process_request(parser, context);
+    bool const keep_open = parser.get().keep_alive();
+    // The parser adds trailers to its own fields, which are dropped.
+    context.m_head = std::move(parser.get().base());
+    co_return co_await process_request(parser, context, keep_open);
 }
 
 /// Checks the head, runs the head filters, reads the body and runs the request.
 asio::awaitable<bool> caller_session::process_request(
-    request_parser& parser, request_context& context)
+    request_parser& parser, request_context& context, bool keep_open)
 {
     auto const code = validate_head(context.m_head);
     if (code != result_code::ok)
@@ -254,7 +269,6 @@
         refusal const reason{code, std::nullopt};
         co_return co_await write_refusal(context, reason, false);
     }
-    bool const keep_open = parser.get().keep_alive();
     auto const refused =
         co_await run_filters(head_filters(), *m_state, context);
     if (refused)
@@ -266,7 +280,7 @@
             keep_open && parser.is_done());
     }
     co_await send_continue(context);
-    auto const incomplete = co_await read_body(parser);
+    auto const incomplete = co_await read_body(parser, context);
     if (incomplete && m_caller.is_disconnected())
     {
         co_return false;
@@ -391,22 +405,26 @@
 }
 
 asio::awaitable<caller_session::read_failure>
-caller_session::read_head(request_parser& parser)
+caller_session::read_head(request_parser& parser, request_context& context)
 {
-    head_scan scan = scan_head(m_input);
+    head_scan scan = scan_head(m_input.view());
     while (scan.m_length == 0 && scan.m_code == result_code::ok)
     {
+        if (m_is_out_of_space)
+        {
+            co_return refusal{result_code::overloaded, overloaded_retry_after};
+        }
         if (!co_await wait_for_input(m_request_deadline))
         {
             co_return refusal{result_code::caller_too_slow, std::nullopt};
         }
-        scan = scan_head(m_input);
+        scan = scan_head(m_input.view());
     }
     if (scan.m_code != result_code::ok)
     {
         co_return refusal{scan.m_code, std::nullopt};
     }
-    std::string_view const head{m_input.data(), scan.m_length};
+    auto const head = m_input.view().substr(0, scan.m_length);
     auto const code = validate_raw_head(head);
     if (code != result_code::ok)
     {
@@ -422,31 +440,52 @@
     {
         co_return refusal{result_code::malformed_request, std::nullopt};
     }
+    context.m_head_bytes = scan.m_length;
     consume(scan.m_length);
     co_return std::nullopt;
 }
 
 asio::awaitable<caller_session::read_failure>
-caller_session::read_body(request_parser& parser)
+caller_session::read_body(request_parser& parser, request_context& context)
 {
+    auto const has_space = [&](std::uint64_t body_bytes)
+    {
+        return reserve_message(
+            context.m_buffer,
+            request_copies * (context.m_head_bytes + body_bytes));
+    };
+    refusal const no_space{result_code::overloaded, overloaded_retry_after};
+    if (!has_space(parser.content_length().value_or(0)))
+    {
+        co_return no_space;
+    }
     parser.eager(true);
     while (!parser.is_done())
     {
         error_code error;
-        std::size_t const used = parser.put(asio::buffer(m_input), error);
+        std::size_t const used =
+            parser.put(asio::buffer(m_input.view()), error);
         consume(used);
         if (error && error != http::error::need_more)
         {
             co_return refusal{parse_error_code(error), std::nullopt};
         }
+        if (!has_space(parser.get().body().capacity()))
+        {
+            co_return no_space;
+        }
         if (parser.is_done())
         {
             break;
         }
-        if (m_input.size() >= max_input_bytes)
+        if (m_input.view().size() >= max_input_bytes)
         {
             co_return refusal{result_code::malformed_request, std::nullopt};
         }
+        if (m_is_out_of_space)
+        {
+            co_return refusal{result_code::overloaded, overloaded_retry_after};
+        }
         if (!co_await wait_for_input(m_request_deadline))
         {
             co_return refusal{result_code::caller_too_slow, std::nullopt};
@@ -469,7 +508,8 @@
 
 void caller_session::consume(std::size_t bytes)
 {
-    m_input.erase(0, bytes);
+    m_input.consume(bytes);
+    m_is_out_of_space = false;
     m_space_timer.cancel();
 }
 
@@ -572,7 +612,7 @@
     error_code ignored;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     m_is_discarding = true;
-    consume(m_input.size());
+    consume(m_input.view().size());
     auto const deadline = runtime_clock::now() + linger_timeout;
     while (co_await wait_for_input(deadline))
     {
--- a/src/caller_session.hpp
+++ b/src/caller_session.hpp
@@ -5,6 +5,7 @@
 /// one after the other and writes their responses.
 
 #include "caller_response.hpp"
+#include "input_buffer.hpp"
 #include "request.hpp"
 #include "traffic_state.hpp"
 
@@ -60,8 +61,8 @@
 
     /// Serves one request. Returns false if the connection has to be closed.
     boost::asio::awaitable<bool> serve_request();
-    boost::asio::awaitable<bool>
-    process_request(request_parser& parser, request_context& context);
+    boost::asio::awaitable<bool> process_request(
+        request_parser& parser, request_context& context, bool keep_open);
     boost::asio::awaitable<bool>
     run_and_respond(request_context& context, bool keep_open);
     boost::asio::awaitable<request_result> run(request_context& context);
@@ -69,8 +70,10 @@
     run_archive(request_context& context);
 
     boost::asio::awaitable<bool> wait_for_request();
-    boost::asio::awaitable<read_failure> read_head(request_parser& parser);
-    boost::asio::awaitable<read_failure> read_body(request_parser& parser);
+    boost::asio::awaitable<read_failure>
+    read_head(request_parser& parser, request_context& context);
+    boost::asio::awaitable<read_failure>
+    read_body(request_parser& parser, request_context& context);
     boost::asio::awaitable<bool> wait_for_input(time_point deadline);
     boost::asio::awaitable<void> send_continue(request_context const& context);
 
@@ -86,6 +89,7 @@
     boost::asio::awaitable<bool> write_data(std::string_view data);
     boost::asio::awaitable<void> close_gracefully();
 
+    [[nodiscard]] bool is_input_full() const;
     void consume(std::size_t bytes);
     void arm_write_timeout();
     void disarm_write_timeout();
@@ -94,7 +98,7 @@
     boost::asio::ip::tcp::socket m_socket;
     std::shared_ptr<traffic_state> m_state;
     disconnect_monitor m_caller;
-    std::string m_input;
+    input_buffer m_input;
     timer m_input_timer; ///< cancelled when input arrives
     timer m_space_timer; ///< cancelled when input is consumed
     timer m_write_timer;
@@ -102,6 +106,7 @@
     time_point m_request_deadline{};
     bool m_is_idle = false;
     bool m_is_discarding = false;
+    bool m_is_out_of_space = false; ///< the last read had no buffer space
     bool m_has_served = false;
 };
 
--- a/src/request.hpp
+++ b/src/request.hpp
@@ -4,6 +4,7 @@
 /// The state of one request, shared by the filter chain, the attempts at
 /// upstreams and the caller session, and the results that it can have.
 
+#include "buffer_budget.hpp"
 #include "claim_table.hpp"
 #include "config.hpp"
 #include "result_code.hpp"
@@ -103,7 +104,9 @@
     std::string m_request_id; ///< unique in the fleet
     boost::beast::http::request_header<> m_head;
     std::string m_body;
-    time_point m_received{}; ///< when the request had been read completely
+    std::size_t m_head_bytes = 0; ///< length of the head as received
+    buffer_reservation m_buffer;  ///< space of head and body
+    time_point m_received{};      ///< when the request had been read completely
     disconnect_monitor* m_caller = nullptr;
 
     // Set by the filters. Copies, since the configuration may change while the
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -124,7 +124,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::array<setting, 14> all_settings{{
+constexpr std::array<setting, 15> all_settings{{
     {"vm-id",
      "BRIARHUB_VM_ID",
      "",
@@ -196,6 +196,14 @@
      {
          return store_count(s.m_max_connections, text, 1, 100'000);
      }},
+    {"memory-limit-mb",
+     "BRIARHUB_MEMORY_LIMIT_MB",
+     "512",
+     "memory of the process in MB, 16 to 1000000; requests use up to half",
+     [](settings& s, std::string const& text)
+     {
+         return store_count(s.m_memory_limit_mb, text, 16, 1'000'000);
+     }},
     {"platform-timeout-ms",
      "BRIARHUB_PLATFORM_TIMEOUT_MS",
      "2000",
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -34,6 +34,7 @@
     log_format m_log_format = log_format::text;
     std::string m_log_level = "info";
     std::uint32_t m_max_connections = 4096;
+    std::uint32_t m_memory_limit_mb = 512; ///< 10^6 bytes, of the process
     std::chrono::milliseconds m_platform_timeout{2000};
     std::chrono::milliseconds m_caller_timeout{10000};
     std::chrono::milliseconds m_shutdown_timeout{30000};
--- a/src/traffic_state.cpp
+++ b/src/traffic_state.cpp
@@ -38,6 +38,11 @@
 /// the decision may have been lost.
 constexpr std::size_t max_cancelled_claims = 10'000;
 
+constexpr std::size_t bytes_per_megabyte = 1'000'000;
+
+/// One in this many bytes of the process's memory may hold requests.
+constexpr std::size_t buffer_share = 2;
+
 /// Runs as a detached coroutine, so it shares ownership of the state.
 asio::awaitable<void>
 run_probe(std::shared_ptr<traffic_state> state, upstream target)
@@ -110,8 +115,9 @@
     metrics_registry& metrics,
     mailbox<control_message>& to_control)
     : m_io(io), m_options(options), m_self(self), m_metrics(metrics),
-      m_to_control(to_control), m_rates(self, random_seed()),
-      m_health(self, random_seed()),
+      m_to_control(to_control),
+      m_buffers(options.m_memory_limit_mb * bytes_per_megabyte / buffer_share),
+      m_rates(self, random_seed()), m_health(self, random_seed()),
       m_dispatcher(
           [this](time_point now, upstream_id const& id)
           {
--- a/src/traffic_state.hpp
+++ b/src/traffic_state.hpp
@@ -6,6 +6,7 @@
 /// and counters.
 
 #include "admin_messages.hpp"
+#include "buffer_budget.hpp"
 #include "caller_key.hpp"
 #include "dispatcher.hpp"
 #include "lease_rate_limiter.hpp"
@@ -144,6 +145,8 @@
     metrics_registry& m_metrics;
     mailbox<control_message>& m_to_control;
 
+    buffer_budget m_buffers; ///< of callers' requests
+
     config m_config;
     key_index m_keys;
     route_table m_routes;
