--- a/tests/buffer_budget_test.cpp
+++ b/tests/buffer_budget_test.cpp
@@ -1,7 +1,9 @@
 #include "buffer_budget.hpp"
+#include "input_buffer.hpp"
 
 #include <doctest/doctest.h>
 
+#include <string>
 #include <utility>
 
 using namespace briarhub;
@@ -46,3 +48,38 @@
     CHECK(!reservation.resize(1));
     reservation.release();
 }
+
+TEST_CASE("long messages leave space to short ones")
+{
+    // A few long bodies used up the space, and every short request was refused.
+    buffer_budget budget{64 * short_message_bytes};
+    buffer_reservation long_message{budget};
+    CHECK(!long_message.resize(57 * short_message_bytes));
+    CHECK(long_message.resize(56 * short_message_bytes));
+    buffer_reservation short_message{budget};
+    CHECK(short_message.resize(short_message_bytes));
+    CHECK(!short_message.resize(short_message_bytes + 1));
+}
+
+TEST_CASE("input counts towards the budget while it is in memory")
+{
+    // Unparsed input of many connections exceeded the memory of the process.
+    buffer_budget budget{2 * read_chunk_bytes};
+    input_buffer first{budget};
+    CHECK(first.reserve_read() == read_chunk_bytes);
+    first.append(std::string(read_chunk_bytes, 'x'));
+    CHECK(budget.reserved() >= read_chunk_bytes);
+
+    input_buffer second{budget};
+    buffer_reservation body{budget};
+    CHECK(body.resize(read_chunk_bytes));
+    CHECK(second.reserve_read() == free_buffer_bytes);
+    second.append(std::string(free_buffer_bytes, 'x'));
+    CHECK(second.reserve_read() == 0);
+
+    body.release();
+    first.consume(read_chunk_bytes);
+    CHECK(budget.reserved() == 0);
+    second.consume(free_buffer_bytes);
+    CHECK(second.reserve_read() == read_chunk_bytes);
+}
