Decide by cost whether a request is served now or refused

A request went to the cheapest upstream with room, whatever that meant for it. In a burst beside failing upstreams, requests that must not run twice went to the failing ones as soon as the queues at the others were long: the wait was computed from the average duration of attempts, which contains the waits themselves. Urgent requests joined queues that they could not leave before their deadlines.

The new module compares the failure probability of the best upstream with the cost of a return, refuses what cannot be served in time, and limits requests per slot by priority and by the work of the route, which is measured apart from waits.

--- a/src/edge_attempts.cpp
+++ b/src/edge_attempts.cpp
@@ -1,5 +1,6 @@
 #include "edge_attempts.hpp"
 
+#include "admission.hpp"
 #include "http_fields.hpp"
 #include "upstream_notice.hpp"
 
@@ -11,6 +12,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 namespace briarhub
@@ -114,7 +116,6 @@
         choice.m_service = m_request.m_service;
         choice.m_is_idempotent = m_request.m_route->m_is_idempotent;
         choice.m_is_retry = m_executed_attempts > 0;
-        choice.m_priority = m_request.m_priority;
         choice.m_latency_target = m_request.m_route->m_latency_target;
         choice.m_response_bytes =
             m_state.response_bytes(m_request.m_route->m_name);
@@ -124,7 +125,19 @@
             directory_age &&
             *directory_age <= max_directory_age_share *
                                   m_state.m_settings.m_upstream_update_limit;
-        return m_state.m_load_balancer.select_upstream(now, choice);
+        admission_request request;
+        request.m_route = m_request.m_route->m_name;
+        request.m_priority = m_request.m_priority;
+        request.m_time_left = m_request.m_deadline - now;
+        request.m_may_have_run = m_executed_attempts > 0;
+        auto decision = m_state.m_admission.decide(
+            now, m_state.m_load_balancer, choice, request);
+        if (auto const* refused = std::get_if<admission_refusal>(&decision))
+        {
+            m_refusal = *refused;
+            return std::nullopt;
+        }
+        return std::get<upstream_choice>(std::move(decision)).m_entry;
     }
 
     asio::awaitable<exchange_result>
@@ -133,6 +146,8 @@
         auto const tag = tag_of(target);
         auto const start = runtime_clock::now();
         m_attempted_upstreams.push_back(target.m_upstream.m_id);
+        m_found_spare_slots =
+            m_state.m_load_balancer.has_spare_slots(start, tag);
         log_attempt_start(target, start);
         m_state.m_load_balancer.attempt_started(start, tag);
         notify_gossip_update();
@@ -384,6 +399,14 @@
         }
         load_balancer.observe(now, tag, observation::served);
         load_balancer.record_duration(m_request.m_service, m_duration);
+        if (m_found_spare_slots)
+        {
+            m_state.m_admission.record_work(
+                now,
+                m_request.m_route->m_name,
+                m_request.m_service,
+                m_duration);
+        }
         if (!result.m_streamed)
         {
             m_state.record_response(
@@ -576,10 +599,7 @@
         if (m_executed_attempts == 0)
         {
             m_request.m_outcome = "refused";
-            auto const code = m_request.m_caller->is_interrupted()
-                                  ? result_code::stopping
-                                  : result_code::no_upstream;
-            return refusal{code, retry_after()};
+            return refusal{refusal_code(), retry_after()};
         }
         m_request.m_outcome = "failed";
         if (m_has_timed_out)
@@ -592,6 +612,23 @@
             std::nullopt};
     }
 
+    /// Code of a request that no upstream executed.
+    result_code refusal_code()
+    {
+        if (m_request.m_caller->is_interrupted())
+        {
+            return result_code::stopping;
+        }
+        if (!m_refusal)
+        {
+            return result_code::no_upstream;
+        }
+        m_request.m_admission_basis = m_refusal->m_basis;
+        m_state.m_admission.record_refusal(
+            m_request.m_route->m_name, m_refusal->m_code);
+        return m_refusal->m_code;
+    }
+
     duration retry_after()
     {
         auto const now = runtime_clock::now();
@@ -681,6 +718,7 @@
     timer m_slow_timer;
     std::vector<upstream_id> m_attempted_upstreams;
     std::optional<exchange_result> m_error_response;
+    std::optional<admission_refusal> m_refusal; ///< of the last decision
     duration m_duration{};
     unsigned m_executed_attempts = 0;
     unsigned m_unexecuted_attempts = 0;
@@ -688,7 +726,8 @@
     bool m_was_rejected = false;       ///< an upstream received and rejected it
     bool m_is_cancelled = false; ///< slow and cancelled; the retry has a permit
     bool m_has_timed_out = false;
-    bool m_had_stale_reset = false; ///< a reused connection was reset
+    bool m_found_spare_slots = false; ///< the last attempt at its upstream
+    bool m_had_stale_reset = false;   ///< a reused connection was reset
 };
 
 } // namespace
--- a/src/edge_request.hpp
+++ b/src/edge_request.hpp
@@ -4,6 +4,7 @@
 /// A caller's request at an edge process, with the values that the filters and
 /// the attempts set on it, and the types of its reply.
 
+#include "admission.hpp"
 #include "policy_index.hpp"
 #include "request.hpp"
 #include "result_code.hpp"
@@ -48,6 +49,8 @@
 
     // Logged when the request ends.
     boost::json::array m_attempts;
+    /// Of a request that admission refused: what the decision was based on.
+    std::optional<admission_basis> m_admission_basis;
     /// Of a refused request: time since the policy was known to be the newest.
     std::optional<duration> m_policy_age;
     std::string_view m_outcome = "refused";
--- a/src/edge_state.cpp
+++ b/src/edge_state.cpp
@@ -97,6 +97,7 @@
             services.insert(part.m_service);
         }
     }
+    m_admission.retain(names, services);
     std::erase_if(
         m_returns,
         [&](auto const& schedule)
--- a/src/edge_state.hpp
+++ b/src/edge_state.hpp
@@ -5,6 +5,7 @@
 /// health and load of upstreams, rate limits, retry budgets, upstream
 /// connections and metrics. All sessions of the process share it.
 
+#include "admission.hpp"
 #include "buffer_budget.hpp"
 #include "connection_pool.hpp"
 #include "edge_settings.hpp"
@@ -102,6 +103,7 @@
     event_log& m_events;
     std::mt19937_64 m_random;
     load_balancer m_load_balancer;
+    admission m_admission;
     fleet_rate_limiter m_rate_limiter;
     retry_budget m_retries;
     suspect_requests m_suspects;
--- a/src/load_balancer.cpp
+++ b/src/load_balancer.cpp
@@ -42,12 +42,6 @@
 /// An upstream above this failure probability gets one request at a time.
 constexpr double suspect_threshold = 0.3;
 
-/// Limits on the requests at an upstream per slot, by priority. An upstream
-/// queues only a few requests; urgent ones may use more of its queue.
-constexpr double max_requests_per_slot = 4.0;
-constexpr double requests_per_slot_step = 0.5;
-constexpr double min_requests_per_slot = 2.0;
-
 /// The reused connections of a service are unreliable while this share of its
 /// upstreams reset one within the window. A single upstream may have crashed.
 constexpr std::chrono::seconds reuse_reset_window{3};
@@ -75,11 +69,16 @@
 constexpr double reopen_spread = 0.25;
 constexpr std::chrono::milliseconds max_reopen_spread{1000};
 
-double requests_per_slot_limit(unsigned priority)
+/// False if no upstream can serve the request in the time left after `wait`.
+bool fits(selection_context const& request, std::chrono::nanoseconds wait)
 {
-    return std::max(
-        min_requests_per_slot,
-        max_requests_per_slot - requests_per_slot_step * priority);
+    return !request.m_time_left ||
+           wait + request.m_work <= *request.m_time_left;
+}
+
+double slots_of(upstream_entry const& entry)
+{
+    return std::max(1U, entry.m_upstream.m_slots);
 }
 
 /// A missing response may be a fault of this VM's path, so it counts against
@@ -211,7 +210,7 @@
     return unlisted == m_unlisted.end() ? nullptr : &unlisted->second.m_state;
 }
 
-std::optional<upstream_entry>
+std::optional<upstream_choice>
 load_balancer::select_upstream(time_point now, selection_context const& request)
 {
     auto const service = m_by_service.find(request.m_service);
@@ -221,11 +220,12 @@
     }
     bool const is_first_attempt = request.m_excluded.empty();
     if (!request.m_is_idempotent && is_first_attempt &&
-        request.m_may_test_idle && draw_share() < trial_share)
+        request.m_may_test_idle && fits(request, {}) &&
+        draw_share() < trial_share)
     {
         if (auto const* trial = select_trial(now, service->second))
         {
-            return trial->m_entry;
+            return make_choice(now, *trial, request, true);
         }
     }
     upstream_state const* best = nullptr;
@@ -233,12 +233,7 @@
     for (auto const tag : service->second)
     {
         auto const& candidate = m_slots.at(tag);
-        bool const excluded =
-            !is_open(now, candidate) ||
-            std::ranges::find(
-                request.m_excluded, candidate.m_entry.m_upstream.m_id) !=
-                request.m_excluded.end();
-        if (excluded)
+        if (!is_candidate(now, candidate, request))
         {
             continue;
         }
@@ -253,7 +248,118 @@
     {
         return std::nullopt;
     }
-    return best->m_entry;
+    return make_choice(now, *best, request, false);
+}
+
+upstream_choice load_balancer::make_choice(
+    time_point now,
+    upstream_state const& entry,
+    selection_context const& request,
+    bool is_trial) const
+{
+    upstream_choice choice;
+    choice.m_entry = entry.m_entry;
+    choice.m_failure_probability = failure_probability(now, entry);
+    choice.m_expected_wait =
+        expected_wait(entry, total_in_flight(now, entry), request);
+    choice.m_is_trial = is_trial;
+    return choice;
+}
+
+double
+load_balancer::lower_quartile(time_point now, service_name const& service) const
+{
+    constexpr std::size_t quarter = 4;
+    std::vector<double> probabilities;
+    auto const found = m_by_service.find(service);
+    if (found == m_by_service.end())
+    {
+        return 0.0;
+    }
+    for (auto const tag : found->second)
+    {
+        auto const& entry = m_slots.at(tag);
+        if (!entry.m_is_draining)
+        {
+            probabilities.push_back(failure_probability(now, entry));
+        }
+    }
+    if (probabilities.empty())
+    {
+        return 0.0;
+    }
+    auto const index = probabilities.size() / quarter;
+    auto const quartile =
+        probabilities.begin() + static_cast<std::ptrdiff_t>(index);
+    std::ranges::nth_element(probabilities, quartile);
+    return *quartile;
+}
+
+selection_shortage
+load_balancer::shortage(time_point now, selection_context const& request) const
+{
+    auto const service = m_by_service.find(request.m_service);
+    if (service == m_by_service.end())
+    {
+        return selection_shortage::none_open;
+    }
+    auto result = selection_shortage::none_open;
+    for (auto const tag : service->second)
+    {
+        auto const& entry = m_slots.at(tag);
+        if (!is_candidate(now, entry, request))
+        {
+            continue;
+        }
+        if (has_room(now, entry, request))
+        {
+            return selection_shortage::all_too_late;
+        }
+        result = selection_shortage::all_full;
+    }
+    return result;
+}
+
+std::optional<std::chrono::nanoseconds> load_balancer::shortest_wait(
+    time_point now, selection_context const& request) const
+{
+    std::optional<std::chrono::nanoseconds> shortest;
+    auto const service = m_by_service.find(request.m_service);
+    if (service == m_by_service.end())
+    {
+        return shortest;
+    }
+    for (auto const tag : service->second)
+    {
+        auto const& entry = m_slots.at(tag);
+        if (is_candidate(now, entry, request))
+        {
+            auto const wait =
+                expected_wait(entry, total_in_flight(now, entry), request);
+            shortest = std::min(wait, shortest.value_or(wait));
+        }
+    }
+    return shortest;
+}
+
+bool load_balancer::is_candidate(
+    time_point now,
+    upstream_state const& entry,
+    selection_context const& request)
+{
+    return is_open(now, entry) &&
+           std::ranges::find(
+               request.m_excluded, entry.m_entry.m_upstream.m_id) ==
+               request.m_excluded.end();
+}
+
+bool load_balancer::has_room(
+    time_point now,
+    upstream_state const& entry,
+    selection_context const& request) const
+{
+    return total_in_flight(now, entry) <
+           slots_of(entry.m_entry) * request.m_requests_per_slot;
 }
 
 bool load_balancer::is_open(time_point now, upstream_state const& entry)
@@ -300,12 +406,15 @@
     selection_context const& request)
 {
     unsigned const load = total_in_flight(now, entry);
-    double const slots = std::max(1U, entry.m_entry.m_upstream.m_slots);
-    if (load >= slots * requests_per_slot_limit(request.m_priority))
+    double const slots = slots_of(entry.m_entry);
+    double const risk = failure_probability(now, entry);
+    bool const is_possible = load < slots * request.m_requests_per_slot &&
+                             risk <= request.m_max_failure_probability &&
+                             fits(request, expected_wait(entry, load, request));
+    if (!is_possible)
     {
         return std::numeric_limits<double>::infinity();
     }
-    double const risk = failure_probability(now, entry);
     bool const must_succeed = !request.m_is_idempotent || request.m_is_retry;
     double total = wait_cost(entry, load, request);
     if (must_succeed)
@@ -336,16 +445,25 @@
     return total + std::uniform_real_distribution<>{0.0, jitter}(m_random);
 }
 
-double load_balancer::wait_cost(
+std::chrono::nanoseconds load_balancer::expected_wait(
     upstream_state const& entry,
     unsigned in_flight,
     selection_context const& request) const
 {
-    double const slots = std::max(1U, entry.m_entry.m_upstream.m_slots);
+    double const slots = slots_of(entry.m_entry);
     double const queued = std::max(0.0, (in_flight + 1.0 - slots) / slots);
+    seconds const work =
+        request.m_service_work.value_or(typical_duration(request.m_service));
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(work * queued);
+}
+
+double load_balancer::wait_cost(
+    upstream_state const& entry,
+    unsigned in_flight,
+    selection_context const& request) const
+{
     double const wait =
-        seconds(typical_duration(entry.m_entry.m_upstream.m_service)).count() *
-        queued;
+        seconds(expected_wait(entry, in_flight, request)).count();
     double const target =
         std::max(seconds(request.m_latency_target).count(), 0.05);
     double const share = wait / target;
@@ -388,6 +506,15 @@
     return found == m_slots.end() ? 0 : total_in_flight(now, found->second);
 }
 
+bool load_balancer::has_spare_slots(time_point now, upstream_tag target) const
+{
+    constexpr double used_share = 0.5;
+    auto const found = m_slots.find(target);
+    return found != m_slots.end() &&
+           total_in_flight(now, found->second) <=
+               used_share * slots_of(found->second.m_entry);
+}
+
 upstream_update& load_balancer::pending_update(upstream_tag target)
 {
     auto& update = m_unsent[target];
--- a/src/load_balancer.hpp
+++ b/src/load_balancer.hpp
@@ -65,7 +65,17 @@
     bool m_is_idempotent = true;
     /// An earlier attempt failed, so this one should succeed.
     bool m_is_retry = false;
-    unsigned m_priority = 0;
+    /// Upstreams with this many requests per slot are full.
+    double m_requests_per_slot = 4.0;
+    /// An upstream is not a choice if the expected wait and the work of the
+    /// request exceed the time left. Nullopt: no limit.
+    std::optional<std::chrono::nanoseconds> m_time_left;
+    std::chrono::nanoseconds m_work{0}; ///< expected, without the wait
+    /// Usual work of the service's requests. Nullopt: the average duration of
+    /// its attempts, which includes their waits.
+    std::optional<std::chrono::nanoseconds> m_service_work;
+    /// An upstream above this is not a choice, unless it is a trial.
+    double m_max_failure_probability = 1.0;
     std::chrono::milliseconds m_latency_target{0};
     double m_response_bytes = 0.0; ///< typical size of a response on the route
     /// A non-idempotent request may test an idle upstream. False while this VM
@@ -75,6 +85,23 @@
     std::span<upstream_id const> m_excluded;
 };
 
+/// An upstream that was selected, with what was known of it.
+struct upstream_choice
+{
+    upstream_entry m_entry;
+    double m_failure_probability = 0.0;
+    std::chrono::nanoseconds m_expected_wait{0};
+    bool m_is_trial = false; ///< tests an upstream that may have recovered
+};
+
+/// Why no upstream was selected.
+enum class selection_shortage
+{
+    none_open, ///< each one is excluded, draining, closed or at its rate limit
+    all_full,  ///< those that are open are full
+    all_too_late ///< those with room have too long a wait for the request
+};
+
 class load_balancer
 {
 public:
@@ -95,10 +122,20 @@
     /// The upstream with the lowest cost by failure probability, load and
     /// failure domain. A few non-idempotent requests test upstreams that may
     /// have recovered instead. Nullopt if each one is excluded, draining,
-    /// closed, full or at its rate limit.
-    std::optional<upstream_entry>
+    /// closed, at its rate limit, full, too likely to fail, or cannot meet the
+    /// time left.
+    std::optional<upstream_choice>
     select_upstream(time_point now, selection_context const& request);
 
+    /// Why `select_upstream` selects no upstream for the request.
+    [[nodiscard]] selection_shortage
+    shortage(time_point now, selection_context const& request) const;
+
+    /// Shortest expected wait at an open upstream of the service, full or not;
+    /// nullopt if none is open.
+    [[nodiscard]] std::optional<std::chrono::nanoseconds>
+    shortest_wait(time_point now, selection_context const& request) const;
+
     void attempt_started(time_point now, upstream_tag target);
     void attempt_ended(upstream_tag target);
 
@@ -179,6 +216,16 @@
     failure_probability(time_point now, upstream_tag target) const;
     [[nodiscard]] unsigned in_flight(time_point now, upstream_tag target) const;
 
+    /// Lower quartile of the failure probabilities of the service's upstreams
+    /// that are not draining; 0 if there is none.
+    [[nodiscard]] double
+    lower_quartile(time_point now, service_name const& service) const;
+
+    /// True if at most half of the upstream's slots are used: a further request
+    /// will hardly wait, although peers may just have sent others.
+    [[nodiscard]] bool
+    has_spare_slots(time_point now, upstream_tag target) const;
+
     struct status
     {
         upstream_entry m_entry;
@@ -235,10 +282,28 @@
         time_point now,
         upstream_state const& entry,
         selection_context const& request);
+    [[nodiscard]] static bool is_candidate(
+        time_point now,
+        upstream_state const& entry,
+        selection_context const& request);
+    [[nodiscard]] bool has_room(
+        time_point now,
+        upstream_state const& entry,
+        selection_context const& request) const;
+    /// Expected time in the queue of an upstream with `in_flight` requests.
+    [[nodiscard]] std::chrono::nanoseconds expected_wait(
+        upstream_state const& entry,
+        unsigned in_flight,
+        selection_context const& request) const;
     [[nodiscard]] double wait_cost(
         upstream_state const& entry,
         unsigned in_flight,
         selection_context const& request) const;
+    [[nodiscard]] upstream_choice make_choice(
+        time_point now,
+        upstream_state const& entry,
+        selection_context const& request,
+        bool is_trial) const;
     [[nodiscard]] unsigned
     total_in_flight(time_point now, upstream_state const& entry) const;
     [[nodiscard]] static double
--- a/src/result_code.hpp
+++ b/src/result_code.hpp
@@ -63,6 +63,8 @@
     archive_incomplete = 5009,
     deadline_passed_running = 5010,
     all_upstreams_shed = 5011,
+    upstreams_full = 5012,
+    upstreams_suspect = 5013,
 
     starting = 6001,
     configuration_stale = 6002,
--- a/tests/edge_policy_test.cpp
+++ b/tests/edge_policy_test.cpp
@@ -215,9 +215,9 @@
             balancer.observe(now, tag_of(entries[k]), observation::served);
         }
         ++non_idempotent[balancer.select_upstream(now, make_context(false))
-                             ->m_upstream.m_id];
+                             ->m_entry.m_upstream.m_id];
         ++idempotent[balancer.select_upstream(now, make_context(true))
-                         ->m_upstream.m_id];
+                         ->m_entry.m_upstream.m_id];
     }
     CHECK(!non_idempotent.contains("u0"));
     CHECK(non_idempotent.size() == 5);
@@ -238,7 +238,7 @@
     {
         CHECK(
             balancer.select_upstream(at(2000ms), make_context(true))
-                ->m_upstream.m_id == "u1");
+                ->m_entry.m_upstream.m_id == "u1");
     }
 }
 
@@ -277,7 +277,7 @@
     }
     CHECK(
         balancer.select_upstream(at(0ms), make_context(false))
-            ->m_upstream.m_id == "u1");
+            ->m_entry.m_upstream.m_id == "u1");
     balancer.mark_draining(tag_of(entries[1]));
     CHECK(!balancer.select_upstream(at(0ms), make_context(false)));
 }
@@ -920,13 +920,14 @@
     for (int i = 0; i < 50; ++i)
     {
         CHECK(
-            balancer.select_upstream(at(2ms), request)->m_upstream.m_id ==
-            "near");
+            balancer.select_upstream(at(2ms), request)
+                ->m_entry.m_upstream.m_id == "near");
     }
     balancer.observe(at(3ms), tag_of(entries[0]), observation::failed);
     balancer.observe(at(3ms), tag_of(entries[0]), observation::failed);
     CHECK(
-        balancer.select_upstream(at(4ms), request)->m_upstream.m_id != "near");
+        balancer.select_upstream(at(4ms), request)->m_entry.m_upstream.m_id !=
+        "near");
 }
 
 TEST_CASE("a suspect upstream is tried again within two seconds")
@@ -945,8 +946,8 @@
     for (auto now = at(100ms); now < at(6s); now += 100ms)
     {
         auto const chosen = balancer.select_upstream(now, make_context(true));
-        balancer.observe(now, tag_of(*chosen), observation::served);
-        if (tag_of(*chosen) == suspect)
+        balancer.observe(now, tag_of(chosen->m_entry), observation::served);
+        if (tag_of(chosen->m_entry) == suspect)
         {
             longest = std::max<duration>(longest, now - last);
             last = now;
--- a/tests/upstream_notice_test.cpp
+++ b/tests/upstream_notice_test.cpp
@@ -245,7 +245,7 @@
             auto const chosen =
                 started.select_upstream(at(2s), make_request(i % 2 == 0));
             REQUIRE(chosen);
-            CHECK(chosen->m_upstream.m_id == "u1");
+            CHECK(chosen->m_entry.m_upstream.m_id == "u1");
         }
     }
 }
@@ -366,7 +366,7 @@
         {
             return;
         }
-        auto const tag = tag_of(*target);
+        auto const tag = tag_of(target->m_entry);
         m_vms[vm].attempt_started(at(now), tag);
         m_running.push_back({now + service_time, vm, tag});
         send_update(now, vm);
--- a/tests/upstream_rate_limit_test.cpp
+++ b/tests/upstream_rate_limit_test.cpp
@@ -90,12 +90,12 @@
         {
             return;
         }
-        auto const tag = tag_of(*target);
+        auto const tag = tag_of(target->m_entry);
         balancer.attempt_started(at(now), tag);
         balancer.attempt_ended(tag);
         balancer.observe(at(now), tag, observation::served);
         rate_limit_notice notice;
-        if (target->m_upstream.m_id == "u0")
+        if (target->m_entry.m_upstream.m_id == "u0")
         {
             m_limited_requests.push_back(now);
             notice.m_requests_per_second = m_limit;
--- a/tests/upstream_trial_test.cpp
+++ b/tests/upstream_trial_test.cpp
@@ -172,8 +172,8 @@
         auto const target = m_vms[vm].select_upstream(at(now), request);
         REQUIRE(target);
         auto const number = static_cast<std::size_t>(
-            std::stoul(target->m_upstream.m_id.substr(1)));
-        m_vms[vm].attempt_started(at(now), tag_of(*target));
+            std::stoul(target->m_entry.m_upstream.m_id.substr(1)));
+        m_vms[vm].attempt_started(at(now), tag_of(target->m_entry));
         m_used[number] = now;
         m_running.push_back({now + service_time, vm, number});
         send_update(now, vm);
@@ -297,7 +297,7 @@
             balancer.observe(at(10s), tag_of(entries[0]), observation::served);
             auto const chosen = balancer.select_upstream(at(10s), request);
             REQUIRE(chosen);
-            count += chosen->m_upstream.m_id == "u4" ? 1 : 0;
+            count += chosen->m_entry.m_upstream.m_id == "u4" ? 1 : 0;
         }
         return count;
     };
