--- a/src/edge_session.cpp
+++ b/src/edge_session.cpp
@@ -103,6 +103,34 @@
     edge_state& m_state;
 };
 
+boost::json::object to_json(admission_basis const& basis)
+{
+    auto const to_ms = [](std::chrono::nanoseconds value)
+    {
+        return std::chrono::floor<std::chrono::milliseconds>(value).count();
+    };
+    boost::json::object fields{
+        {"time_left_ms", to_ms(basis.m_time_left)},
+        {"limit", basis.m_requests_per_slot}};
+    if (basis.m_work)
+    {
+        fields["work_ms"] = to_ms(*basis.m_work);
+    }
+    if (basis.m_expected_wait)
+    {
+        fields["wait_ms"] = to_ms(*basis.m_expected_wait);
+    }
+    if (basis.m_failure_probability)
+    {
+        fields["sickness"] = *basis.m_failure_probability;
+    }
+    if (basis.m_refusal_cost)
+    {
+        fields["refusal_cost"] = *basis.m_refusal_cost;
+    }
+    return fields;
+}
+
 } // namespace
 
 edge_response make_edge_refusal(refusal const& reason)
@@ -615,6 +643,10 @@
             std::chrono::floor<std::chrono::milliseconds>(*request.m_policy_age)
                 .count();
     }
+    if (request.m_admission_basis)
+    {
+        log_entry["admission"] = to_json(*request.m_admission_basis);
+    }
     m_state->m_events.write("request", log_entry);
 }
 
--- a/tests/edge/edge_test.py
+++ b/tests/edge/edge_test.py
@@ -847,6 +847,36 @@
             check(name.encode() in text, name)
 
 
+async def test_full_upstreams_refuse_with_reason():
+    """A request joins a queue of an upstream beyond the limit of its priority, or
+    the log does not name what the refusal was based on."""
+    async with Fleet(vms=1, upstreams=1) as fleet:
+        vm = fleet.vms[0]
+        fleet.upstreams[0].fault = lambda headers: "hang"
+        # Two slots and 3.5 requests per slot at priority 1.
+        callers = [vm.caller() for _ in range(7)]
+        for number, caller in enumerate(callers):
+            await caller.send(f"running-{number}", "/write/x", method="POST")
+        await fleet.wait_until(lambda: len(fleet.upstreams[0].runs) == 7)
+        response = await vm.caller().request("full-1", "/write/x", method="POST")
+        check(response.status == 503, response.status)
+        check(response.elapsed_s < 0.2, response.elapsed_s)
+        check("retry-after" in response.headers, response.headers)
+        check(not runs_of(fleet, "full-1"), "a refused request ran")
+        await fleet.wait_until(
+            lambda: any(e["request"] == "full-1" for e in vm.events("request"))
+        )
+        (line,) = [e for e in vm.events("request") if e["request"] == "full-1"]
+        check(line["outcome"] == "upstreams_full", line)
+        check(line["admission"]["limit"] == 3.5, line)
+        check(line["admission"]["wait_ms"] > 0, line)
+        check(0 < line["admission"]["time_left_ms"] <= 1200, line)
+        _, text = await vm.get(9464, "/metrics")
+        check(b'reason="upstreams_full"' in text, "no counter of the reason")
+        for caller in callers:
+            caller.close()
+
+
 def documented_counters():
     """Returns the metric names in the documented table of edge counters."""
     path = os.path.join(os.path.dirname(__file__), "../../docs/OPERATIONS.md")
