Replay overloads for the bench too

The replay of admission moves from the test to a module of its own, as those of retries and dispatch are, and briar-bench gets a subcommand that compares the losses with those of limits by priority alone.

--- a/src/briar_bench_main.cpp
+++ b/src/briar_bench_main.cpp
@@ -1,6 +1,7 @@
 /// briar-bench: runs the decision modules on seeded inputs in simulated time
 /// and prints the results and their signature.
 
+#include "admission_bench.hpp"
 #include "bench_result.hpp"
 #include "claim_bench.hpp"
 #include "health_bench.hpp"
@@ -56,6 +57,10 @@
         "retries",
         "margin and use of the retry budget under kills and partitions",
         run_retry_bench},
+    subcommand{
+        "admission",
+        "lost requests under overload, against limits by priority alone",
+        run_admission_bench},
 };
 
 subcommand const* find_subcommand(std::string_view name)
