--- a/src/admission.hpp
+++ b/src/admission.hpp
@@ -70,7 +70,7 @@
 /// so that a less urgent one would get nothing for as long as the peak lasts.
 inline constexpr double starvation_credit_per_refusal = 0.02;
 
-/// A request without an upstream at the moment of the decision.
+/// The properties of a request that a decision depends on.
 struct admission_request
 {
     std::string_view m_route;
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -170,6 +170,8 @@
 TEST_CASE(
     "upstreams without observations get requests beside healthy full ones")
 {
+    // Their failure probability is above that of the others, so refusals would
+    // keep them idle for as long as the others are full.
     load_balancer upstreams{"z0", 1};
     auto const entries = make_entries(8);
     upstreams.set_upstreams(at(0ms), entries);
@@ -230,6 +232,9 @@
 
 TEST_CASE("decisions keep deadlines, the order of priorities and at most once")
 {
+    // A request would be admitted that cannot be served in time, refused as not
+    // run although it may have run, or refused while a less urgent one with the
+    // same deadline and work is admitted.
     std::mt19937_64 random{11};
     std::size_t admitted_count = 0;
     for (int i = 0; i < 20'000; ++i)
@@ -276,6 +281,7 @@
 
 TEST_CASE("a refusal costs more with less time left and with more urgency")
 {
+    // A caller without time to return would be told to return.
     double previous = 1.0;
     for (auto time_left = 100ms; time_left < 6s; time_left += 100ms)
     {
@@ -289,6 +295,7 @@
 
 TEST_CASE("the limit falls with the work of a route down to the free slots")
 {
+    // Long requests would fill the queues of short ones, or get no free slots.
     CHECK(requests_per_slot_limit(0, std::nullopt, std::nullopt) == 4.0);
     CHECK(requests_per_slot_limit(2, 100ms, 200ms) == 3.0);
     CHECK(requests_per_slot_limit(9, 100ms, 200ms) == 2.0);
@@ -298,6 +305,8 @@
 
 TEST_CASE("a credit admits at the limit of the most urgent priority")
 {
+    // A route would be shut out while others keep the queues at its limit, or
+    // earn so much that its limit means nothing.
     load_balancer upstreams{"z0", 1};
     auto const entries = make_entries(1);
     upstreams.set_upstreams(at(0ms), entries);
