--- a/src/result_code.hpp
+++ b/src/result_code.hpp
@@ -64,6 +64,8 @@
     deadline_passed_running = 5010,
     all_upstreams_shed = 5011,
     upstreams_evacuated = 5012,
+    upstreams_full = 5013,
+    upstreams_suspect = 5014,
 
     starting = 6001,
     configuration_stale = 6002,
