Treat a response with an invalid status as damaged

An upstream in trouble sent a response with the status 000, and the caller got it. So it was with 099, 600 and 999: the parser accepts every three digits. A 101 was taken for an interim response, so that the request waited until its deadline (504).

A status outside 200 to 599 that is not interim, and 101, end the attempt: damaged in the edge process, wrong in briarhub. The request may have run, so only an idempotent one is retried; the attempt counts in the upstream's failure estimate, and briarhub_failed_attempts_total counts it by its end.

edge_test test_invalid_statuses: the status 000 reached the caller before; passes after. upstream_client_test "an invalid status is a wrong response": 5 of 5 statuses failed before (outcomes good and error); passes after.

--- a/src/edge_attempts.cpp
+++ b/src/edge_attempts.cpp
@@ -661,6 +661,12 @@
         {
             entry["status"] = result.m_head.result_int();
         }
+        bool const has_failed = result.m_end != exchange_end::answered &&
+                                result.m_end != exchange_end::stopped;
+        if (has_failed)
+        {
+            m_state.count_failed_attempt(to_string(result.m_end));
+        }
         if (!result.m_error.empty())
         {
             entry["error"] = result.m_error;
--- a/src/edge_state.cpp
+++ b/src/edge_state.cpp
@@ -147,6 +147,14 @@
         .add();
 }
 
+void edge_state::count_failed_attempt(std::string_view end)
+{
+    m_metrics
+        .get_counter(
+            "briarhub_failed_attempts_total", {{"end", std::string{end}}})
+        .add();
+}
+
 void edge_state::count_denied_retry(std::string_view reason)
 {
     m_metrics
--- a/src/edge_state.hpp
+++ b/src/edge_state.hpp
@@ -79,6 +79,8 @@
 
     void count_refusal(result_code code, std::string_view route);
     void count_retry(std::string_view reason);
+    /// Counts an attempt without a complete response, by how it ended.
+    void count_failed_attempt(std::string_view end);
     void count_denied_retry(std::string_view reason);
 
     /// Logs that an upstream states another rate limit than before.
--- a/src/http_fields.hpp
+++ b/src/http_fields.hpp
@@ -1,7 +1,7 @@
 #ifndef BRIARHUB_HTTP_FIELDS_HPP
 #define BRIARHUB_HTTP_FIELDS_HPP
 
-/// Helpers for HTTP header fields: string views and hop-by-hop fields.
+/// Helpers for HTTP heads: string views, hop-by-hop fields and status codes.
 
 #include <boost/beast/core/string_type.hpp>
 #include <boost/beast/http/fields.hpp>
@@ -20,6 +20,15 @@
 /// `Content-Length`, which is set anew for the next hop.
 void remove_hop_by_hop_fields(boost::beast::http::fields& fields);
 
+/// True for the status of a final response. The parser accepts every three
+/// digits; a status of no class tells a caller nothing about its request.
+[[nodiscard]] constexpr bool is_final_status(unsigned status)
+{
+    constexpr unsigned first_final_status = 200;
+    constexpr unsigned last_final_status = 599;
+    return status >= first_final_status && status <= last_final_status;
+}
+
 } // namespace briarhub
 
 #endif
--- a/src/upstream_client.cpp
+++ b/src/upstream_client.cpp
@@ -2,6 +2,7 @@
 
 #include "clock.hpp"
 #include "connection_pool.hpp"
+#include "http_fields.hpp"
 #include "parse_number.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -390,6 +391,13 @@
     bool validate_head(head_parser const& head)
     {
         auto const& fields = head.get();
+        if (!is_final_status(fields.result_int()))
+        {
+            fail(
+                attempt_outcome::wrong,
+                fmt::format("invalid status {}", fields.result_int()));
+            return false;
+        }
         if (!is_request_id_echoed(fields))
         {
             fail(
--- a/src/upstream_exchange.cpp
+++ b/src/upstream_exchange.cpp
@@ -15,6 +15,8 @@
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -73,9 +75,12 @@
     return default_idle_timeout;
 }
 
+/// A response before the final one. After a 101 the connection no longer
+/// carries HTTP, and no request asked for that.
 bool is_interim(http::response_header<> const& head)
 {
-    return head.result_int() / 100 == 1;
+    return head.result_int() / 100 == 1 &&
+           head.result() != http::status::switching_protocols;
 }
 
 } // namespace
@@ -241,6 +246,13 @@
             {
                 continue;
             }
+            if (!is_final_status(head.result_int()))
+            {
+                fail(
+                    exchange_end::damaged,
+                    fmt::format("invalid status {}", head.result_int()));
+                co_return;
+            }
             bool const is_matching =
                 to_view(head[m_names.m_request_id]) == m_request.m_request_id;
             if (!is_matching && !connection().m_reused)
--- a/tests/edge/edge_test.py
+++ b/tests/edge/edge_test.py
@@ -701,6 +701,32 @@
             check(vm.process.poll() is None, "the process exited")
 
 
+async def test_invalid_statuses():
+    """A response whose status is none of HTTP's reaches the caller, a 101 makes the
+    request wait for its deadline, or an upstream that sends them is still trusted."""
+    for status in ("000", "099", "101", "600", "999"):
+        async with Fleet(vms=1, upstreams=2) as fleet:
+            caller = fleet.vms[0].caller()
+            for upstream in fleet.upstreams:
+                upstream.fault = lambda headers, status=status: f"status {status}"
+            response = await caller.request("w", "/write/x", method="POST")
+            check(response.status == 502, f"{status}: {response.status}")
+            check(b"may_have_run" in response.body, f"{status}: {response.body}")
+            check(len(runs_of(fleet, "w")) == 1, f"{status}: {len(runs_of(fleet, 'w'))} runs")
+            await fleet.wait_until(lambda: fleet.vms[0].events("request"))
+            (attempt,) = fleet.vms[0].events("request")[-1]["attempts"]
+            check((attempt["end"], attempt["error"]) == ("damaged", f"invalid status {int(status)}"),
+                  attempt)
+            _, metrics = await fleet.vms[0].get(9464, "/metrics")
+            check(b'briarhub_failed_attempts_total{end="damaged"} 1' in metrics, status)
+            # A request that may run again is served by the other upstream.
+            healthy = next(each for each in fleet.upstreams if not each.runs)
+            healthy.fault = None
+            response = await caller.request("r", "/read/x")
+            check(response.status == 200, f"{status}: {response.status} after a retry")
+            caller.close()
+
+
 async def restart_with_memory(fleet, memory_mb):
     """Restarts the fleet's VM with a memory limit in its settings; returns it."""
     vm = fleet.vms[0]
@@ -898,6 +924,9 @@
     check(len(names) > 12, names)
     async with Fleet(vms=2, upstreams=2) as fleet:
         vm = fleet.vms[0]
+        for upstream in fleet.upstreams:
+            upstream.fault = lambda headers: "status 000"
+        await vm.caller().request("damaged", "/write/x", method="POST")
         # A process that starts assumes that the retry budget of the last window is used.
         for upstream in fleet.upstreams:
             upstream.fault = lambda headers: "error"
--- a/tests/edge/stand_ins.py
+++ b/tests/edge/stand_ins.py
@@ -453,6 +453,8 @@
             elif fault in ENDLESS_RESPONSES:
                 await self.send_endless_response(writer, fault, response_headers)
                 return
+            elif fault and fault.startswith("status "):
+                writer.write(encode_response(fault.split()[1], response_headers, text))
             elif fault in HELD_RESPONSES:
                 await self.send_held_response(writer, fault, response_headers)
                 return
--- a/tests/upstream_client_test.cpp
+++ b/tests/upstream_client_test.cpp
@@ -330,6 +330,47 @@
     CHECK(result->m_body.empty());
 }
 
+TEST_CASE_FIXTURE(fixture, "an invalid status is a wrong response")
+{
+    // A status of no class reached the caller as it was, and 101 as a success.
+    for (std::string const status : {"000", "099", "101", "600", "999"})
+    {
+        net::ip::tcp::acceptor acceptor{m_io, loopback()};
+        net::ip::tcp::socket connection{m_io};
+        std::string const response = "HTTP/1.1 " + status + " X\r\n" +
+                                     request_id_field +
+                                     ": s\r\nContent-Length: 0\r\n\r\n";
+        acceptor.async_accept(
+            connection,
+            [&](boost::system::error_code)
+            {
+                net::write(connection, net::buffer(response));
+            });
+        std::optional<upstream_result> result;
+        net::co_spawn(
+            m_io,
+            m_client.run(
+                1,
+                make_target(acceptor.local_endpoint()),
+                make_request("/balances/1", "s"),
+                runtime_clock::now() + 1s,
+                {}),
+            [&](std::exception_ptr const&, upstream_result value)
+            {
+                result = std::move(value);
+            });
+        run_until(
+            [&]
+            {
+                return result.has_value();
+            });
+        CAPTURE(status);
+        CHECK(result->m_outcome == attempt_outcome::wrong);
+        CHECK(result->m_sent);
+        CHECK(!result->m_not_run);
+    }
+}
+
 TEST_CASE_FIXTURE(fixture, "nothing is sent if may_send returns false")
 {
     // A VM with stale configuration must not send requests, not even those that
