--- a/tests/edge/edge_test.py
+++ b/tests/edge/edge_test.py
@@ -954,6 +954,9 @@
     check(len(names) > 12, names)
     async with Fleet(vms=2, upstreams=2) as fleet:
         vm = fleet.vms[0]
+        for upstream in fleet.upstreams:
+            upstream.fault = lambda headers: "status 000"
+        await vm.caller().request("damaged", "/write/x", method="POST")
         # A process that starts assumes that the retry budget of the last window is used.
         for upstream in fleet.upstreams:
             upstream.fault = lambda headers: "error"
