--- a/tests/evacuation_test.cpp
+++ b/tests/evacuation_test.cpp
@@ -204,7 +204,7 @@
         auto const chosen = balancer.select_upstream(
             at(i * 100ms), make_request(i % 2 == 0, i % 3 == 0));
         REQUIRE(chosen);
-        CHECK(chosen->m_upstream.m_id == "u1");
+        CHECK(chosen->m_entry.m_upstream.m_id == "u1");
     }
     CHECK(!balancer.is_evacuated("desk"));
     balancer.set_evacuated({"z1", "z2"});
