Limit the requests of the whole fleet to cold upstreams

Upstreams that had just started, or whose failure domain returned at once, crashed under the requests of all VMs, and callers got failures: an idle upstream is the cheapest choice of every VM, and a cold one only cost a little more. A known upstream that turned cold again was not noticed at all, since its warm-up time was read from the first announcement of its process and a later one was no change of the directory.

Services state how many requests a second a cold upstream bears. Permits for that rate are given to VMs by a rendezvous hash of VM and upstream, so that no message has to arrive in time. The members are those of the last 15 minutes: a VM that is cut off goes on sending. Upstreams whose evacuation ended are presumed cold.

--- a/src/edge_attempts.cpp
+++ b/src/edge_attempts.cpp
@@ -595,10 +595,17 @@
         {
             return result_code::stopping;
         }
-        bool const is_evacuated =
-            m_state.m_load_balancer.is_evacuated(m_request.m_service);
-        return is_evacuated ? result_code::upstreams_evacuated
-                            : result_code::no_upstream;
+        switch (m_state.m_load_balancer.find_obstacle(
+            runtime_clock::now(), m_request.m_service))
+        {
+        case load_balancer::obstacle::evacuated:
+            return result_code::upstreams_evacuated;
+        case load_balancer::obstacle::cold:
+            return result_code::upstreams_cold;
+        case load_balancer::obstacle::other:
+            break;
+        }
+        return result_code::no_upstream;
     }
 
     duration retry_after()
--- a/src/edge_process.cpp
+++ b/src/edge_process.cpp
@@ -245,6 +245,7 @@
              {"changed", !is_unchanged},
              {"needs_restart", needs_restart}});
         m_settings.m_retries = updated.m_retries;
+        m_settings.m_warm_up = updated.m_warm_up;
         m_settings.m_upstream_update_limit = updated.m_upstream_update_limit;
         m_settings.m_shutdown_grace_period = updated.m_shutdown_grace_period;
         boost::asio::post(
--- a/src/edge_settings.hpp
+++ b/src/edge_settings.hpp
@@ -5,6 +5,7 @@
 
 #include "retry_budget.hpp"
 #include "types.hpp"
+#include "warm_up_limiter.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -31,6 +32,7 @@
     /// Set when the whole fleet starts for the first time.
     bool m_is_bootstrap = false;
     retry_bounds m_retries;
+    warm_up_bounds m_warm_up;
     /// Maximum time until a policy change is in force.
     std::chrono::milliseconds m_policy_update_limit{2000};
     /// Maximum time until an evacuation order is in force.
--- a/src/edge_state.cpp
+++ b/src/edge_state.cpp
@@ -29,7 +29,8 @@
     event_log& events)
     : m_io(io), m_settings(settings), m_header_names(names), m_metrics(metrics),
       m_events(events), m_random(random_seed()),
-      m_load_balancer(settings.m_failure_domain, random_seed()),
+      m_load_balancer(
+          settings.m_failure_domain, random_seed(), settings.m_warm_up),
       m_rate_limiter(runtime_clock::now()),
       m_retries(runtime_clock::now(), settings.m_retries), m_pool(io),
       m_buffers(settings.m_memory_limit / buffer_share),
@@ -51,6 +52,7 @@
     auto updated = std::make_shared<policy_index>(std::move(policy));
     auto const now = runtime_clock::now();
     m_rate_limiter.set_accounts(now, updated->policy().m_accounts);
+    m_load_balancer.set_services(updated->policy().m_services);
     m_events.write(
         "policy",
         {{"version", updated->policy().m_version},
@@ -65,7 +67,12 @@
 
 void edge_state::set_upstreams(std::vector<upstream_entry>&& entries)
 {
-    m_load_balancer.set_upstreams(runtime_clock::now(), entries);
+    auto const turned_cold =
+        m_load_balancer.set_upstreams(runtime_clock::now(), entries);
+    if (!turned_cold.empty())
+    {
+        record_cold(turned_cold);
+    }
     std::vector<upstream> listed_upstreams;
     listed_upstreams.reserve(entries.size());
     for (auto const& entry : entries)
@@ -84,7 +91,7 @@
     std::ranges::set_symmetric_difference(
         m_evacuated, domains, std::back_inserter(changed));
     m_evacuated = std::move(domains);
-    m_load_balancer.set_evacuated(m_evacuated);
+    m_load_balancer.set_evacuated(runtime_clock::now(), m_evacuated);
     for (auto const& domain : changed)
     {
         record_evacuation(domain, m_evacuated.contains(domain));
@@ -114,6 +121,39 @@
     m_settings.m_upstream_update_limit = settings.m_upstream_update_limit;
     m_settings.m_shutdown_grace_period = settings.m_shutdown_grace_period;
     m_retries.set_bounds(settings.m_retries);
+    m_settings.m_warm_up = settings.m_warm_up;
+    m_load_balancer.set_warm_up_bounds(settings.m_warm_up);
+}
+
+void edge_state::record_cold(std::vector<upstream_id> const& upstreams)
+{
+    constexpr std::size_t max_names = 10;
+    boost::json::array names;
+    for (auto const& upstream : upstreams)
+    {
+        if (names.size() < max_names)
+        {
+            names.emplace_back(upstream);
+        }
+    }
+    m_events.write(
+        "upstreams_cold", {{"count", upstreams.size()}, {"upstreams", names}});
+}
+
+void edge_state::record_warm_up(time_point now)
+{
+    auto const passed_over = m_load_balancer.take_passed_over();
+    auto const count = [this](std::string const& reason, std::uint64_t number)
+    {
+        m_metrics
+            .get_counter(
+                "briarhub_upstreams_passed_over_total", {{"reason", reason}})
+            .add(number);
+    };
+    count("evacuated", passed_over.m_evacuated);
+    count("cold", passed_over.m_cold);
+    m_metrics.get_gauge("briarhub_upstreams_cold")
+        .set(static_cast<double>(m_load_balancer.cold_upstreams(now)));
 }
 
 /// Drops the state of routes and services that the policy no longer has.
--- a/src/edge_state.hpp
+++ b/src/edge_state.hpp
@@ -95,6 +95,10 @@
     /// Logs that an upstream wants no requests of this VM for a while.
     void record_closed(upstream_id const& upstream, duration retry_after);
 
+    /// Updates the metrics of cold upstreams and of selections that passed
+    /// upstreams over.
+    void record_warm_up(time_point now);
+
     /// Logs and counts an invalid value that an upstream stated about itself.
     void record_invalid_notice(
         upstream_id const& upstream, invalid_notice_field const& field);
@@ -132,6 +136,7 @@
 
 private:
     void remove_stale_routes(fleet_policy const& policy);
+    void record_cold(std::vector<upstream_id> const& upstreams);
     void record_evacuation(failure_domain const& domain, bool is_evacuated);
 
     std::shared_ptr<policy_index const> m_policy;
--- a/src/fleet_policy.hpp
+++ b/src/fleet_policy.hpp
@@ -42,6 +42,19 @@
     friend bool operator==(route_policy const&, route_policy const&) = default;
 };
 
+/// How upstreams of a service begin after they started.
+struct service_policy
+{
+    service_name m_name;
+    /// How long an upstream is cold after its start.
+    std::chrono::milliseconds m_slow_start{0};
+    /// Requests/s that a cold upstream bears; 0 means no limit.
+    double m_warm_up_rate = 0.0;
+
+    friend bool
+    operator==(service_policy const&, service_policy const&) = default;
+};
+
 struct account_policy
 {
     account_name m_name;
@@ -70,19 +83,25 @@
 {
     config_version m_version = 0;
     std::vector<route_policy> m_routes;
-    std::vector<service_name> m_services;
+    std::vector<service_policy> m_services;
     std::vector<account_policy> m_accounts;
     caller_limits m_limits;
 
     friend bool operator==(fleet_policy const&, fleet_policy const&) = default;
 };
 
+/// A change of the time at which an upstream becomes warm counts from this on,
+/// since reads deliver announcements with different delays. It is added to the
+/// warm-up time where that is used.
+inline constexpr std::chrono::milliseconds warm_up_tolerance{300};
+
 /// An upstream's own announcement in the directory.
 struct upstream_entry
 {
     upstream m_upstream;
     std::uint64_t m_start_time = 0; ///< of its process, Unix milliseconds
     std::uint64_t m_sequence = 0;   ///< of announcements since the start
+    /// How much longer the upstream is cold.
     std::chrono::milliseconds m_warm_up_remaining{0};
 
     friend bool
--- a/src/gossip_service.cpp
+++ b/src/gossip_service.cpp
@@ -415,6 +415,7 @@
         m_state->m_load_balancer.set_reachable_share(
             now, m_peers.view(now).share());
         m_state->m_retries.set_position(m_peers.position(now));
+        share_cold_upstreams(now);
         m_state->m_pool.close_expired(now);
         update_role(now);
         record_replica_ages(now);
@@ -424,6 +425,7 @@
         m_state->m_metrics.get_gauge("briarhub_upstreams_closed")
             .set(static_cast<double>(
                 m_state->m_load_balancer.closed_upstreams(now)));
+        m_state->record_warm_up(now);
         m_state->m_metrics.get_gauge("briarhub_buffered_body_bytes")
             .set(static_cast<double>(m_state->m_buffers.reserved()));
         save_health_snapshot(now);
@@ -443,6 +445,18 @@
     }
 }
 
+/// A process that has just started holds no permits for cold upstreams: its
+/// previous run may have used them, and the peers may not know it yet.
+void gossip_service::share_cold_upstreams(time_point now)
+{
+    auto members = m_peers.fleet_members();
+    if (members && now - m_started >= permit_window)
+    {
+        m_state->m_load_balancer.set_members(
+            m_peers.self().m_vm, std::move(*members));
+    }
+}
+
 /// When the policy or the directory reaches the age at which this VM reads the
 /// store itself.
 time_point gossip_service::freshness_expiry() const
--- a/src/gossip_service.hpp
+++ b/src/gossip_service.hpp
@@ -130,6 +130,7 @@
     void record_replica_ages(time_point now);
     void update_role(time_point now);
     [[nodiscard]] time_point freshness_expiry() const;
+    void share_cold_upstreams(time_point now);
     void save_health_snapshot(time_point now);
     void contact_seeds();
 
--- a/src/load_balancer.cpp
+++ b/src/load_balancer.cpp
@@ -99,21 +99,28 @@
         entry.m_upstream.m_id + '@' + std::to_string(entry.m_start_time));
 }
 
-load_balancer::load_balancer(failure_domain own_domain, std::uint64_t seed)
-    : m_own_domain(std::move(own_domain)), m_random(seed)
+load_balancer::load_balancer(
+    failure_domain own_domain,
+    std::uint64_t seed,
+    warm_up_bounds const& warm_up)
+    : m_own_domain(std::move(own_domain)), m_random(seed), m_warm_up(warm_up)
 {
 }
 
-void load_balancer::set_upstreams(
+std::vector<upstream_id> load_balancer::set_upstreams(
     time_point now, std::span<upstream_entry const> entries)
 {
+    std::vector<upstream_id> turned_cold;
+    m_warm_up.remove_warm(now);
     auto previous = std::exchange(m_slots, {});
     m_by_service.clear();
     for (auto const& entry : entries)
     {
         auto const tag = tag_of(entry);
+        bool is_announced = true;
         if (auto listed = previous.extract(tag))
         {
+            is_announced = !(listed.mapped().m_entry == entry);
             m_slots.insert(std::move(listed));
         }
         else if (auto unlisted = m_unlisted.extract(tag))
@@ -125,6 +132,14 @@
             m_slots.emplace(tag, make_state(now, tag, entry));
         }
         m_slots.at(tag).m_entry = entry;
+        bool const is_newly_cold =
+            is_announced &&
+            m_warm_up.announce(
+                now, entry.m_upstream, entry.m_warm_up_remaining);
+        if (is_newly_cold)
+        {
+            turned_cold.push_back(entry.m_upstream.m_id);
+        }
         m_by_service[entry.m_upstream.m_service].push_back(tag);
     }
     retain_unlisted(now, std::move(previous));
@@ -134,6 +149,7 @@
         {
             return now - item.second.m_as_of > unlisted_retention;
         });
+    return turned_cold;
 }
 
 load_balancer::upstream_state load_balancer::make_state(
@@ -147,7 +163,6 @@
         {},
         now,
         time_point{},
-        now + entry.m_warm_up_remaining,
         time_point{},
         upstream_rate_limiter{draw_share()},
         false,
@@ -234,14 +249,18 @@
     {
         auto const& candidate = m_slots.at(tag);
         bool const excluded =
-            !is_open(now, candidate) ||
             std::ranges::find(
                 request.m_excluded, candidate.m_entry.m_upstream.m_id) !=
-                request.m_excluded.end();
+            request.m_excluded.end();
         if (excluded)
         {
             continue;
         }
+        if (!is_open(now, candidate))
+        {
+            count_if_passed_over(now, candidate);
+            continue;
+        }
         double const candidate_cost = cost(now, candidate, request);
         if (candidate_cost < best_cost)
         {
@@ -256,9 +275,68 @@
     return best->m_entry;
 }
 
-void load_balancer::set_evacuated(std::set<failure_domain> domains)
+void load_balancer::set_evacuated(
+    time_point now, std::set<failure_domain> domains)
+{
+    auto const previous = std::exchange(m_evacuated, std::move(domains));
+    auto const presume_cold = [&](upstream_state const& entry)
+    {
+        auto const& domain = entry.m_entry.m_upstream.m_failure_domain;
+        if (previous.contains(domain) && !m_evacuated.contains(domain))
+        {
+            m_warm_up.presume_cold(now, entry.m_entry.m_upstream);
+        }
+    };
+    for (auto const& [tag, entry] : m_slots)
+    {
+        presume_cold(entry);
+    }
+    for (auto const& [tag, unlisted] : m_unlisted)
+    {
+        presume_cold(unlisted.m_state);
+    }
+}
+
+void load_balancer::set_services(std::span<service_policy const> services)
+{
+    m_warm_up.set_services(services);
+}
+
+void load_balancer::set_warm_up_bounds(warm_up_bounds const& bounds)
+{
+    m_warm_up.set_bounds(bounds);
+}
+
+void load_balancer::set_members(vm_tag self, std::vector<vm_tag> members)
+{
+    m_warm_up.set_members(self, std::move(members));
+}
+
+std::size_t load_balancer::cold_upstreams(time_point now) const
 {
-    m_evacuated = std::move(domains);
+    return m_warm_up.cold_upstreams(now);
+}
+
+load_balancer::passed_over_counts load_balancer::take_passed_over()
+{
+    return std::exchange(m_passed_over, {});
+}
+
+void load_balancer::count_if_passed_over(
+    time_point now, upstream_state const& entry)
+{
+    if (entry.m_is_draining)
+    {
+        return;
+    }
+    if (is_evacuated(entry))
+    {
+        ++m_passed_over.m_evacuated;
+    }
+    else if (m_warm_up.wait(now, entry.m_entry.m_upstream) > duration::zero())
+    {
+        ++m_passed_over.m_cold;
+    }
 }
 
 std::size_t load_balancer::upstreams_in(failure_domain const& domain) const
@@ -272,14 +350,15 @@
     return static_cast<std::size_t>(count);
 }
 
-bool load_balancer::is_evacuated(service_name const& service) const
+load_balancer::obstacle
+load_balancer::find_obstacle(time_point now, service_name const& service) const
 {
     auto const found = m_by_service.find(service);
     if (found == m_by_service.end())
     {
-        return false;
+        return obstacle::other;
     }
-    bool has_evacuated = false;
+    auto result = obstacle::other;
     for (auto const tag : found->second)
     {
         auto const& entry = m_slots.at(tag);
@@ -287,13 +366,18 @@
         {
             continue;
         }
-        if (!is_evacuated(entry))
+        if (is_evacuated(entry))
+        {
+            result = result == obstacle::cold ? result : obstacle::evacuated;
+            continue;
+        }
+        if (m_warm_up.wait(now, entry.m_entry.m_upstream) == duration::zero())
         {
-            return false;
+            return obstacle::other;
         }
-        has_evacuated = true;
+        result = obstacle::cold;
     }
-    return has_evacuated;
+    return result;
 }
 
 bool load_balancer::is_evacuated(upstream_state const& entry) const
@@ -305,7 +389,8 @@
 {
     return !entry.m_is_draining && !is_evacuated(entry) &&
            now >= entry.m_closed_until &&
-           entry.m_rate_limiter.wait(now) == duration::zero();
+           entry.m_rate_limiter.wait(now) == duration::zero() &&
+           m_warm_up.wait(now, entry.m_entry.m_upstream) == duration::zero();
 }
 
 /// An upstream that may have recovered: healthy by its estimate, without
@@ -357,7 +442,8 @@
     if (must_succeed)
     {
         total += loss_cost * risk;
-        total += now < entry.m_warm_up_end ? warm_up_cost : 0.0;
+        bool const is_cold = m_warm_up.is_cold(now, entry.m_entry.m_upstream);
+        total += is_cold ? warm_up_cost : 0.0;
     }
     else
     {
@@ -447,6 +533,7 @@
     {
         ++entry->m_own_in_flight;
         entry->m_rate_limiter.record_own_request(now, draw_share());
+        m_warm_up.record_request(now, entry->m_entry.m_upstream);
         ++pending_update(target).m_started;
     }
 }
@@ -597,7 +684,10 @@
         }
         auto const closed =
             std::max(entry.m_closed_until - now, duration::zero());
-        auto const wait = std::max(closed, entry.m_rate_limiter.wait(now));
+        auto const wait = std::max(
+            {closed,
+             entry.m_rate_limiter.wait(now),
+             m_warm_up.wait(now, entry.m_entry.m_upstream)});
         shortest = std::min(wait, shortest.value_or(wait));
     }
     return shortest.value_or(duration::zero());
--- a/src/load_balancer.hpp
+++ b/src/load_balancer.hpp
@@ -10,6 +10,7 @@
 #include "fleet_policy.hpp"
 #include "tags.hpp"
 #include "upstream_rate_limit.hpp"
+#include "warm_up_limiter.hpp"
 
 #include <array>
 #include <chrono>
@@ -82,7 +83,10 @@
     /// True if a connection to the address is open and idle.
     using idle_connection_check = std::function<bool(endpoint_address const&)>;
 
-    load_balancer(failure_domain own_domain, std::uint64_t seed);
+    load_balancer(
+        failure_domain own_domain,
+        std::uint64_t seed,
+        warm_up_bounds const& warm_up = {});
 
     void set_idle_connection_check(idle_connection_check check)
     {
@@ -90,24 +94,56 @@
     }
 
     /// Replaces the endpoint set. An upstream process that was already in the
-    /// set keeps its state, also if its entry was missing for a while.
-    void set_upstreams(time_point now, std::span<upstream_entry const> entries);
+    /// set keeps its state, also if its entry was missing for a while. Returns
+    /// the upstreams that turned cold.
+    std::vector<upstream_id>
+    set_upstreams(time_point now, std::span<upstream_entry const> entries);
 
     /// Replaces the failure domains whose upstreams get no requests. The set
-    /// may name domains without upstreams.
-    void set_evacuated(std::set<failure_domain> domains);
+    /// may name domains without upstreams. Upstreams of a domain that is no
+    /// longer evacuated are presumed cold, since they may have been restarted.
+    void set_evacuated(time_point now, std::set<failure_domain> domains);
+
+    /// Replaces the slow start times and warm-up rates of the services.
+    void set_services(std::span<service_policy const> services);
+
+    void set_warm_up_bounds(warm_up_bounds const& bounds);
+
+    /// Sets the VMs that share the requests to cold upstreams, `self` among
+    /// them. Before the first call this VM sends none to them.
+    void set_members(vm_tag self, std::vector<vm_tag> members);
+
+    /// Number of upstreams that are cold.
+    [[nodiscard]] std::size_t cold_upstreams(time_point now) const;
+
+    /// Why upstreams were passed over in selections, counted by upstream.
+    struct passed_over_counts
+    {
+        std::uint64_t m_evacuated = 0;
+        std::uint64_t m_cold = 0; ///< without a permit of this VM
+    };
+
+    /// The counts since the last call.
+    passed_over_counts take_passed_over();
 
     /// Number of upstreams in the failure domain.
     [[nodiscard]] std::size_t upstreams_in(failure_domain const& domain) const;
 
-    /// True if the service has upstreams that would take requests, and all of
-    /// them are in evacuated failure domains.
-    [[nodiscard]] bool is_evacuated(service_name const& service) const;
+    enum class obstacle
+    {
+        other,
+        evacuated, ///< all upstreams are in evacuated failure domains
+        cold ///< all others are cold and this VM may send them nothing now
+    };
+
+    /// Why no upstream of the service that is not draining takes requests.
+    [[nodiscard]] obstacle
+    find_obstacle(time_point now, service_name const& service) const;
 
     /// The upstream with the lowest cost by failure probability, load and
     /// failure domain. A few non-idempotent requests test upstreams that may
     /// have recovered instead. Nullopt if each one is excluded, draining,
-    /// evacuated, closed, full or at its rate limit.
+    /// evacuated, closed, full, at its rate limit, or cold without a permit.
     std::optional<upstream_entry>
     select_upstream(time_point now, selection_context const& request);
 
@@ -141,7 +177,7 @@
     /// use.
     void set_reachable_share(time_point now, double share);
 
-    /// Time until an upstream of the service is open and within its rate limit;
+    /// Time until an upstream of the service is open and within its limits;
     /// zero if one is, or if all are draining or evacuated.
     [[nodiscard]] duration
     availability_wait(time_point now, service_name const& service) const;
@@ -216,7 +252,6 @@
         std::unordered_map<vm_tag, peer_load> m_peers;
         time_point m_last_observation{};
         time_point m_reset_on_reuse_at{}; ///< last reset of a reused connection
-        time_point m_warm_up_end{};
         time_point m_closed_until{}; ///< the upstream wants no requests before
         upstream_rate_limiter m_rate_limiter;
         bool m_has_observations = false;
@@ -242,6 +277,7 @@
     [[nodiscard]] bool
     is_open(time_point now, upstream_state const& entry) const;
     [[nodiscard]] bool is_evacuated(upstream_state const& entry) const;
+    void count_if_passed_over(time_point now, upstream_state const& entry);
     [[nodiscard]] upstream_state const*
     select_trial(time_point now, std::span<upstream_tag const> tags);
     [[nodiscard]] double cost(
@@ -275,6 +311,8 @@
     std::mt19937_64 m_random;
     idle_connection_check m_has_idle_connection;
     std::set<failure_domain> m_evacuated;
+    warm_up_limiter m_warm_up;
+    passed_over_counts m_passed_over;
     std::map<upstream_tag, upstream_state> m_slots; ///< the endpoint set
     std::map<upstream_tag, unlisted_upstream> m_unlisted;
     std::unordered_map<upstream_tag, imported_estimate> m_imported;
--- a/src/peer_table.cpp
+++ b/src/peer_table.cpp
@@ -50,8 +50,10 @@
     if (message.m_is_leaving)
     {
         m_peers.erase(message.m_origin.m_vm);
+        m_departed.insert(message.m_origin.m_vm);
         return true;
     }
+    m_departed.erase(message.m_origin.m_vm);
     add(now, message.m_origin);
     auto& entry = m_peers[message.m_origin.m_vm];
     bool const is_old =
@@ -86,6 +88,12 @@
         {
             return now - item.second >= share_retention;
         });
+    std::erase_if(
+        m_departed,
+        [&](vm_tag vm)
+        {
+            return !m_share_owners.contains(vm);
+        });
 }
 
 /// Peers report only what they count themselves, so a size that no VM counts
@@ -106,6 +114,23 @@
     return m_is_fleet_size_known ? m_share_owners.size() + 1 : 0;
 }
 
+std::optional<std::vector<vm_tag>> peer_table::fleet_members() const
+{
+    if (!m_is_fleet_size_known)
+    {
+        return std::nullopt;
+    }
+    std::vector<vm_tag> members{m_self.m_vm};
+    for (auto const& [vm, last_known] : m_share_owners)
+    {
+        if (!m_departed.contains(vm))
+        {
+            members.push_back(vm);
+        }
+    }
+    return members;
+}
+
 fleet_position peer_table::position(time_point now) const
 {
     if (!m_is_fleet_size_known)
--- a/src/peer_table.hpp
+++ b/src/peer_table.hpp
@@ -15,6 +15,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <vector>
 
 namespace briarhub
@@ -81,6 +82,10 @@
     /// limit, from this VM's own records; 0 while the fleet is unknown.
     [[nodiscard]] std::size_t known_fleet_size() const;
 
+    /// The VMs of `known_fleet_size`, including this one, without those that
+    /// announced that they leave; nullopt while the fleet is unknown.
+    [[nodiscard]] std::optional<std::vector<vm_tag>> fleet_members() const;
+
     /// Size of the fleet, the largest that this VM or a peer counts, and the
     /// index of this VM in the order of addresses.
     [[nodiscard]] fleet_position position(time_point now) const;
@@ -120,6 +125,7 @@
     std::mt19937_64 m_random;
     std::map<vm_tag, peer> m_peers;
     std::map<vm_tag, time_point> m_share_owners; ///< last added or heard from
+    std::set<vm_tag> m_departed; ///< share owners that announced their leave
     std::size_t m_reported_size = 0; ///< the largest count of a peer
     time_point m_size_reported_at{};
     bool m_is_fleet_size_known = false;
--- a/src/result_code.cpp
+++ b/src/result_code.cpp
@@ -189,6 +189,12 @@
      503,
      not_run,
      "All upstreams of the service are in evacuated failure domains."},
+    {upstreams_cold,
+     "upstreams_cold",
+     503,
+     not_run,
+     "All upstreams of the service that could take the request are cold and "
+     "at their warm-up rate."},
     {starting, "starting", 503, not_run, "This VM is not ready yet."},
     {configuration_stale,
      "configuration_stale",
--- a/src/result_code.hpp
+++ b/src/result_code.hpp
@@ -64,6 +64,7 @@
     deadline_passed_running = 5010,
     all_upstreams_shed = 5011,
     upstreams_evacuated = 5012,
+    upstreams_cold = 5013,
 
     starting = 6001,
     configuration_stale = 6002,
--- a/src/upstream_directory.cpp
+++ b/src/upstream_directory.cpp
@@ -27,6 +27,24 @@
            std::pair{a.m_start_time, a.m_sequence};
 }
 
+/// When the upstream becomes warm; the epoch if it is.
+time_point warm_time(time_point now, upstream_entry const& entry)
+{
+    bool const is_cold =
+        entry.m_warm_up_remaining > std::chrono::milliseconds::zero();
+    return is_cold ? now + entry.m_warm_up_remaining : time_point{};
+}
+
+/// True if an upstream turned cold or warm, or turned cold again meanwhile. The
+/// end of a warm-up is a change too, so that a VM that starts does not get an
+/// old announcement of a peer that the upstream is cold.
+bool is_warm_up_change(time_point known, time_point announced)
+{
+    bool const was_cold = known != time_point{};
+    bool const is_cold = announced != time_point{};
+    return was_cold != is_cold || announced > known + warm_up_tolerance;
+}
+
 } // namespace
 
 std::string_view to_string(store_failure failure) noexcept
@@ -66,12 +84,12 @@
 {
     if (record.m_value)
     {
-        return put(record);
+        return put(now, record);
     }
     return remove(now, record.m_key, record.m_offset);
 }
 
-bool upstream_directory::put(store_record const& record)
+bool upstream_directory::put(time_point now, store_record const& record)
 {
     auto const tombstone = m_tombstones.find(record.m_key);
     if (tombstone != m_tombstones.end() && record.m_offset <= tombstone->second)
@@ -85,6 +103,7 @@
         return false;
     }
     auto& value = std::get<upstream_entry>(decoded);
+    auto const warm_at = warm_time(now, value);
     auto const existing = m_entries.find(record.m_key);
     if (existing == m_entries.end())
     {
@@ -94,7 +113,8 @@
             record.m_offset,
             record.m_offset,
             std::nullopt,
-            0};
+            0,
+            warm_at};
         m_tombstones.erase(record.m_key);
         advance_last_change(record.m_offset);
         return true;
@@ -111,7 +131,8 @@
     {
         return false;
     }
-    bool const is_changed = !is_same_upstream(entry.m_value, value);
+    bool const is_changed = !is_same_upstream(entry.m_value, value) ||
+                            is_warm_up_change(entry.m_warm_at, warm_at);
     bool const is_restored = entry.m_removal_due.has_value();
     entry.m_value = std::move(value);
     entry.m_encoded_value = *record.m_value;
@@ -120,6 +141,7 @@
     entry.m_removal_offset = 0;
     if (is_changed || is_restored)
     {
+        entry.m_warm_at = warm_at;
         entry.m_change_offset = record.m_offset;
         advance_last_change(record.m_offset);
     }
--- a/src/upstream_directory.hpp
+++ b/src/upstream_directory.hpp
@@ -37,7 +37,8 @@
     upstream_directory(decoder decode, reject_handler on_reject);
 
     /// Applies records in the order of their offsets. Returns true if an
-    /// upstream was added or removed, or changed more than its sequence number.
+    /// upstream was added or removed, or changed more than its sequence number
+    /// and the warm-up time that has passed since.
     bool apply(time_point now, std::span<store_record const> records);
 
     struct change_set;
@@ -93,11 +94,12 @@
         log_offset m_change_offset = 0;
         std::optional<time_point> m_removal_due;
         log_offset m_removal_offset = 0; ///< of the deferred removal
+        time_point m_warm_at{}; ///< as of the last change; the epoch if warm
     };
 
     bool apply_record(time_point now, store_record const& record);
     bool remove(time_point now, std::string const& key, log_offset offset);
-    bool put(store_record const& record);
+    bool put(time_point now, store_record const& record);
     void record_removal(std::string const& key, log_offset offset);
     void advance_last_change(log_offset offset);
     void record_history_gap(log_offset begin, log_offset end);
--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -45,8 +45,8 @@
     return {"resource_kind": "tenants", "metadata": {"name": name}, "spec": spec}
 
 
-def service(name):
-    spec = {"health_path": "/health", "max_connections": 330}
+def service(name, **overrides):
+    spec = {"health_path": "/health", "max_connections": 330, **overrides}
     return {"resource_kind": "services", "metadata": {"name": name}, "spec": spec}
 
 
--- a/tests/edge/stand_ins.py
+++ b/tests/edge/stand_ins.py
@@ -293,6 +293,7 @@
         self.runs = []  # (time, request id, headers, body, request line)
         self.cancelled = []
         self.rate_limit = None  # value of the field that limits the fleet's requests/s
+        self.cold_until = 0.0  # announced as the time that it stays cold
         self.is_leaving = False  # True or a value: stated in every response
         self.retry_after = None  # value of the field in rejections ("shed")
         self.arrivals = []  # (time, request id) of all requests, including rejected ones
@@ -312,7 +313,7 @@
             "version": "v1",
             "slots": self.slots,
             "state": self.state,
-            "warmup_left_ms": 0,
+            "warmup_left_ms": max(0, int((self.cold_until - time.time()) * 1000)),
             "sequence": self.sequence,
             "born": self.started_ms,
         }
--- a/tests/evacuation_test.cpp
+++ b/tests/evacuation_test.cpp
@@ -18,6 +18,7 @@
 {
 
 using domain_set = std::set<failure_domain>;
+using obstacle = load_balancer::obstacle;
 
 time_point at(duration offset)
 {
@@ -196,7 +197,7 @@
         make_entry("u0", "z1"), make_entry("u1", "z2")};
     load_balancer balancer{"z1", 1};
     balancer.set_upstreams(at(0ms), entries);
-    balancer.set_evacuated({"z1", "unknown"});
+    balancer.set_evacuated(at(0ms), {"z1", "unknown"});
     CHECK(balancer.upstreams_in("z1") == 1);
     for (int i = 0; i < 400; ++i)
     {
@@ -206,12 +207,12 @@
         REQUIRE(chosen);
         CHECK(chosen->m_upstream.m_id == "u1");
     }
-    CHECK(!balancer.is_evacuated("desk"));
-    balancer.set_evacuated({"z1", "z2"});
+    CHECK(balancer.find_obstacle(at(40s), "desk") == obstacle::other);
+    balancer.set_evacuated(at(60s), {"z1", "z2"});
     CHECK(!balancer.select_upstream(at(60s), make_request(true, false)));
-    CHECK(balancer.is_evacuated("desk"));
-    CHECK(!balancer.is_evacuated("other"));
-    balancer.set_evacuated({});
+    CHECK(balancer.find_obstacle(at(60s), "desk") == obstacle::evacuated);
+    CHECK(balancer.find_obstacle(at(60s), "other") == obstacle::other);
+    balancer.set_evacuated(at(61s), {});
     CHECK(balancer.select_upstream(at(61s), make_request(true, false)));
 }
 
@@ -219,7 +220,7 @@
 {
     std::vector<upstream_entry> const entries{make_entry("u0", "z1")};
     load_balancer balancer{"z1", 1};
-    balancer.set_evacuated({"z1"});
+    balancer.set_evacuated(at(0ms), {"z1"});
     balancer.set_upstreams(at(0ms), entries);
     CHECK(!balancer.select_upstream(at(1s), make_request(true, false)));
 }
