--- a/src/bucket_owners.cpp
+++ b/src/bucket_owners.cpp
@@ -1,5 +1,7 @@
 #include "bucket_owners.hpp"
 
+#include "tags.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <string_view>
@@ -22,15 +24,6 @@
     return hash;
 }
 
-/// SplitMix64 finalizer, which mixes the bits of the combined hashes.
-std::uint64_t mix_bits(std::uint64_t value)
-{
-    value += 0x9e3779b97f4a7c15;
-    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9;
-    value = (value ^ (value >> 27)) * 0x94d049bb133111eb;
-    return value ^ (value >> 31);
-}
-
 } // namespace
 
 double floor_fraction(double fraction)
--- a/src/edge_attempts.cpp
+++ b/src/edge_attempts.cpp
@@ -619,9 +619,15 @@
         {
             return result_code::stopping;
         }
-        if (m_state.m_load_balancer.is_evacuated(m_request.m_service))
+        auto const now = runtime_clock::now();
+        switch (m_state.m_load_balancer.find_obstacle(now, m_request.m_service))
         {
+        case load_balancer::obstacle::evacuated:
             return result_code::upstreams_evacuated;
+        case load_balancer::obstacle::cold:
+            return result_code::upstreams_cold;
+        case load_balancer::obstacle::other:
+            break;
         }
         if (!m_refusal)
         {
--- a/src/result_code.cpp
+++ b/src/result_code.cpp
@@ -200,6 +200,12 @@
      not_run,
      "The upstreams with room are likely to fail, and the caller has time to "
      "send the request again."},
+    {upstreams_cold,
+     "upstreams_cold",
+     503,
+     not_run,
+     "All upstreams of the service that could take the request are cold and "
+     "at their warm-up rate."},
     {starting, "starting", 503, not_run, "This VM is not ready yet."},
     {configuration_stale,
      "configuration_stale",
--- a/src/result_code.hpp
+++ b/src/result_code.hpp
@@ -66,6 +66,7 @@
     upstreams_evacuated = 5012,
     upstreams_full = 5013,
     upstreams_suspect = 5014,
+    upstreams_cold = 5015,
 
     starting = 6001,
     configuration_stale = 6002,
