--- a/src/admission_simulation.cpp
+++ b/src/admission_simulation.cpp
@@ -34,9 +34,9 @@
     for (std::size_t i = 0; i < count; ++i)
     {
         auto& added = entries[i].m_upstream;
-        added.m_id = "u" + std::to_string(i);
+        added.m_id = std::string{"u"}.append(std::to_string(i));
         added.m_service = "desk";
-        added.m_failure_domain = "z" + std::to_string(i % 4);
+        added.m_failure_domain = std::string{"z"}.append(std::to_string(i % 4));
         added.m_address = "10.0.0.1:80";
         added.m_slots = slots_per_upstream;
         entries[i].m_start_time = 1;
@@ -71,7 +71,9 @@
     {
         for (std::size_t i = 0; i < vm_count; ++i)
         {
-            m_vms.emplace_back("z" + std::to_string(i % 4), seed * 1000 + i);
+            m_vms.emplace_back(
+                std::string{"z"}.append(std::to_string(i % 4)),
+                seed * 1000 + i);
             m_vms.back().m_upstreams.set_upstreams(at(0ms), m_entries);
         }
         for (auto& upstream : m_upstreams)
