--- a/src/edge_settings.hpp
+++ b/src/edge_settings.hpp
@@ -5,6 +5,7 @@
 
 #include "retry_budget.hpp"
 #include "types.hpp"
+#include "warm_up_limiter.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -31,8 +32,11 @@
     /// Set when the whole fleet starts for the first time.
     bool m_is_bootstrap = false;
     retry_bounds m_retries;
+    warm_up_bounds m_warm_up;
     /// Maximum time until a policy change is in force.
     std::chrono::milliseconds m_policy_update_limit{2000};
+    /// Maximum time until an evacuation order is in force.
+    std::chrono::milliseconds m_evacuation_limit{5000};
     /// Maximum time until a change of an upstream is in force.
     std::chrono::milliseconds m_upstream_update_limit{2000};
     /// Interval at which upstreams renew their announcements in the store.
--- a/src/edge_state.hpp
+++ b/src/edge_state.hpp
@@ -5,6 +5,7 @@
 /// health and load of upstreams, rate limits, retry budgets, upstream
 /// connections and metrics. All sessions of the process share it.
 
+#include "admission.hpp"
 #include "buffer_budget.hpp"
 #include "connection_pool.hpp"
 #include "edge_settings.hpp"
@@ -31,6 +32,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -54,6 +56,9 @@
     /// Replaces the set of upstreams that may receive requests.
     void set_upstreams(std::vector<upstream_entry>&& entries);
 
+    /// Replaces the failure domains whose upstreams get no requests.
+    void set_evacuated(std::set<failure_domain>&& domains);
+
     void apply_settings(edge_settings const& settings);
 
     /// Null until a policy is loaded. A request uses one policy to its end.
@@ -79,6 +84,8 @@
 
     void count_refusal(result_code code, std::string_view route);
     void count_retry(std::string_view reason);
+    /// Counts an attempt without a complete response, by how it ended.
+    void count_failed_attempt(std::string_view end);
     void count_denied_retry(std::string_view reason);
 
     /// Logs that an upstream states another rate limit than before.
@@ -91,6 +98,10 @@
     /// Logs that an upstream wants no requests of this VM for a while.
     void record_closed(upstream_id const& upstream, duration retry_after);
 
+    /// Updates the metrics of cold upstreams and of selections that passed
+    /// upstreams over.
+    void record_warm_up(time_point now);
+
     /// Logs and counts an invalid value that an upstream stated about itself.
     void record_invalid_notice(
         upstream_id const& upstream, invalid_notice_field const& field);
@@ -102,6 +113,7 @@
     event_log& m_events;
     std::mt19937_64 m_random;
     load_balancer m_load_balancer;
+    admission m_admission;
     fleet_rate_limiter m_rate_limiter;
     retry_budget m_retries;
     suspect_requests m_suspects;
@@ -128,9 +140,12 @@
 
 private:
     void remove_stale_routes(fleet_policy const& policy);
+    void record_cold(std::vector<upstream_id> const& upstreams);
+    void record_evacuation(failure_domain const& domain, bool is_evacuated);
 
     std::shared_ptr<policy_index const> m_policy;
     bool m_has_upstreams = false;
+    std::set<failure_domain> m_evacuated;
     std::map<std::string, double, std::less<>> m_response_bytes; ///< by route
 };
 
--- a/src/gossip_service.cpp
+++ b/src/gossip_service.cpp
@@ -100,7 +100,9 @@
 choose_max_replica_age(edge_settings const& options, std::mt19937_64& random)
 {
     duration const bound = std::min(
-        options.m_policy_update_limit, options.m_upstream_update_limit);
+        {options.m_policy_update_limit,
+         options.m_evacuation_limit,
+         options.m_upstream_update_limit});
     std::uniform_real_distribution<> share{
         min_replica_age_share, max_replica_age_share};
     return std::chrono::duration_cast<duration>(share(random) * bound);
@@ -269,6 +271,7 @@
     receive_ages(now, message);
     bool const is_ahead =
         state.m_policy_version > m_status.m_state.m_policy_version ||
+        state.m_policy_position > m_status.m_state.m_policy_position ||
         (state.m_is_store_reader &&
          state.m_directory_position > m_status.m_state.m_directory_position);
     if (is_ahead && now - m_newer_reported_at >= newer_peer_interval)
@@ -290,7 +293,7 @@
     if (ages.m_policy)
     {
         freshness.m_policy.confirm(
-            state.m_policy_version, now - *ages.m_policy);
+            state.m_policy_position, now - *ages.m_policy);
     }
     if (ages.m_directory)
     {
@@ -412,6 +415,7 @@
         m_state->m_load_balancer.set_reachable_share(
             now, m_peers.view(now).share());
         m_state->m_retries.set_position(m_peers.position(now));
+        share_cold_upstreams(now);
         m_state->m_pool.close_expired(now);
         update_role(now);
         record_replica_ages(now);
@@ -421,6 +425,7 @@
         m_state->m_metrics.get_gauge("briarhub_upstreams_closed")
             .set(static_cast<double>(
                 m_state->m_load_balancer.closed_upstreams(now)));
+        m_state->record_warm_up(now);
         m_state->m_metrics.get_gauge("briarhub_buffered_body_bytes")
             .set(static_cast<double>(m_state->m_buffers.reserved()));
         save_health_snapshot(now);
@@ -440,6 +445,18 @@
     }
 }
 
+/// A process that has just started holds no permits for cold upstreams: its
+/// previous run may have used them, and the peers may not know it yet.
+void gossip_service::share_cold_upstreams(time_point now)
+{
+    auto members = m_peers.fleet_members();
+    if (members && now - m_started >= permit_window)
+    {
+        m_state->m_load_balancer.set_members(
+            m_peers.self().m_vm, std::move(*members));
+    }
+}
+
 /// When the policy or the directory reaches the age at which this VM reads the
 /// store itself.
 time_point gossip_service::freshness_expiry() const
@@ -569,16 +586,17 @@
     auto const& state = update.m_state;
     bool const is_new_version =
         state.m_policy_version != m_status.m_state.m_policy_version ||
+        state.m_policy_position != m_status.m_state.m_policy_position ||
         state.m_directory_position != m_status.m_state.m_directory_position;
     m_status = update;
     bool const was_fresh = runtime_clock::now() < freshness_expiry();
     auto& freshness = m_state->m_freshness;
-    freshness.m_policy.set_version(state.m_policy_version);
+    freshness.m_policy.set_version(state.m_policy_position);
     freshness.m_directory.set_version(state.m_directory_position);
     if (update.m_policy_read_at)
     {
         freshness.m_policy.confirm(
-            state.m_policy_version, *update.m_policy_read_at);
+            state.m_policy_position, *update.m_policy_read_at);
     }
     if (update.m_directory_read_at)
     {
--- a/src/load_balancer.hpp
+++ b/src/load_balancer.hpp
@@ -10,6 +10,7 @@
 #include "fleet_policy.hpp"
 #include "tags.hpp"
 #include "upstream_rate_limit.hpp"
+#include "warm_up_limiter.hpp"
 
 #include <array>
 #include <chrono>
@@ -18,6 +19,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -65,7 +67,17 @@
     bool m_is_idempotent = true;
     /// An earlier attempt failed, so this one should succeed.
     bool m_is_retry = false;
-    unsigned m_priority = 0;
+    /// Upstreams with this many requests per slot are full.
+    double m_requests_per_slot = 4.0;
+    /// An upstream is not a choice if the expected wait and the work of the
+    /// request exceed the time left. Nullopt: no limit.
+    std::optional<std::chrono::nanoseconds> m_time_left;
+    std::chrono::nanoseconds m_work{0}; ///< expected, without the wait
+    /// Usual work of the service's requests. Nullopt: the average duration of
+    /// its attempts, which includes their waits.
+    std::optional<std::chrono::nanoseconds> m_service_work;
+    /// An upstream above this is not a choice, unless it is a trial.
+    double m_max_failure_probability = 1.0;
     std::chrono::milliseconds m_latency_target{0};
     double m_response_bytes = 0.0; ///< typical size of a response on the route
     /// A non-idempotent request may test an idle upstream. False while this VM
@@ -75,13 +87,33 @@
     std::span<upstream_id const> m_excluded;
 };
 
+/// An upstream that was selected, with what was known of it.
+struct upstream_choice
+{
+    upstream_entry m_entry;
+    double m_failure_probability = 0.0;
+    std::chrono::nanoseconds m_expected_wait{0};
+    bool m_is_trial = false; ///< tests an upstream that may have recovered
+};
+
+/// Why no upstream was selected.
+enum class selection_shortage
+{
+    none_open, ///< each one is excluded, draining, closed or at its rate limit
+    all_full,  ///< those that are open are full
+    all_too_late ///< those with room have too long a wait for the request
+};
+
 class load_balancer
 {
 public:
     /// True if a connection to the address is open and idle.
     using idle_connection_check = std::function<bool(endpoint_address const&)>;
 
-    load_balancer(failure_domain own_domain, std::uint64_t seed);
+    load_balancer(
+        failure_domain own_domain,
+        std::uint64_t seed,
+        warm_up_bounds const& warm_up = {});
 
     void set_idle_connection_check(idle_connection_check check)
     {
@@ -89,16 +121,69 @@
     }
 
     /// Replaces the endpoint set. An upstream process that was already in the
-    /// set keeps its state, also if its entry was missing for a while.
-    void set_upstreams(time_point now, std::span<upstream_entry const> entries);
+    /// set keeps its state, also if its entry was missing for a while. Returns
+    /// the upstreams that turned cold.
+    std::vector<upstream_id>
+    set_upstreams(time_point now, std::span<upstream_entry const> entries);
+
+    /// Replaces the failure domains whose upstreams get no requests. The set
+    /// may name domains without upstreams. Upstreams of a domain that is no
+    /// longer evacuated are presumed cold, since they may have been restarted.
+    void set_evacuated(time_point now, std::set<failure_domain> domains);
+
+    /// Replaces the slow start times and warm-up rates of the services.
+    void set_services(std::span<service_policy const> services);
+
+    void set_warm_up_bounds(warm_up_bounds const& bounds);
+
+    /// Sets the VMs that share the requests to cold upstreams, `self` among
+    /// them. Before the first call this VM sends none to them.
+    void set_members(vm_tag self, std::vector<vm_tag> members);
+
+    /// Number of upstreams that are cold.
+    [[nodiscard]] std::size_t cold_upstreams(time_point now) const;
+
+    /// Why upstreams were passed over in selections, counted by upstream.
+    struct passed_over_counts
+    {
+        std::uint64_t m_evacuated = 0;
+        std::uint64_t m_cold = 0; ///< without a permit of this VM
+    };
+
+    /// The counts since the last call.
+    passed_over_counts take_passed_over();
+
+    /// Number of upstreams in the failure domain.
+    [[nodiscard]] std::size_t upstreams_in(failure_domain const& domain) const;
+
+    enum class obstacle
+    {
+        other,
+        evacuated, ///< all upstreams are in evacuated failure domains
+        cold ///< all others are cold and this VM may send them nothing now
+    };
+
+    /// Why no upstream of the service that is not draining takes requests.
+    [[nodiscard]] obstacle
+    find_obstacle(time_point now, service_name const& service) const;
 
     /// The upstream with the lowest cost by failure probability, load and
     /// failure domain. A few non-idempotent requests test upstreams that may
     /// have recovered instead. Nullopt if each one is excluded, draining,
-    /// closed, full or at its rate limit.
-    std::optional<upstream_entry>
+    /// evacuated, closed, at its rate limit, cold without a permit, full, too
+    /// likely to fail, or cannot meet the time left.
+    std::optional<upstream_choice>
     select_upstream(time_point now, selection_context const& request);
 
+    /// Why `select_upstream` selects no upstream for the request.
+    [[nodiscard]] selection_shortage
+    shortage(time_point now, selection_context const& request) const;
+
+    /// Shortest expected wait at an open upstream of the service, full or not;
+    /// nullopt if none is open.
+    [[nodiscard]] std::optional<std::chrono::nanoseconds>
+    shortest_wait(time_point now, selection_context const& request) const;
+
     void attempt_started(time_point now, upstream_tag target);
     void attempt_ended(upstream_tag target);
 
@@ -129,8 +214,8 @@
     /// use.
     void set_reachable_share(time_point now, double share);
 
-    /// Time until an upstream of the service is open and within its rate limit;
-    /// zero if one is, or if all are draining.
+    /// Time until an upstream of the service is open and within its limits;
+    /// zero if one is, or if all are draining or evacuated.
     [[nodiscard]] duration
     availability_wait(time_point now, service_name const& service) const;
 
@@ -179,6 +264,16 @@
     failure_probability(time_point now, upstream_tag target) const;
     [[nodiscard]] unsigned in_flight(time_point now, upstream_tag target) const;
 
+    /// Lower quartile of the failure probabilities of the service's upstreams
+    /// that are not draining; 0 if there is none.
+    [[nodiscard]] double
+    lower_quartile(time_point now, service_name const& service) const;
+
+    /// True if at most half of the upstream's slots are used: a further request
+    /// will hardly wait, although peers may just have sent others.
+    [[nodiscard]] bool
+    has_spare_slots(time_point now, upstream_tag target) const;
+
     struct status
     {
         upstream_entry m_entry;
@@ -204,7 +299,6 @@
         std::unordered_map<vm_tag, peer_load> m_peers;
         time_point m_last_observation{};
         time_point m_reset_on_reuse_at{}; ///< last reset of a reused connection
-        time_point m_warm_up_end{};
         time_point m_closed_until{}; ///< the upstream wants no requests before
         upstream_rate_limiter m_rate_limiter;
         bool m_has_observations = false;
@@ -227,18 +321,40 @@
         time_point m_removed{};
     };
 
-    [[nodiscard]] static bool
-    is_open(time_point now, upstream_state const& entry);
+    [[nodiscard]] bool
+    is_open(time_point now, upstream_state const& entry) const;
+    [[nodiscard]] bool is_evacuated(upstream_state const& entry) const;
+    void count_if_passed_over(time_point now, upstream_state const& entry);
     [[nodiscard]] upstream_state const*
     select_trial(time_point now, std::span<upstream_tag const> tags);
     [[nodiscard]] double cost(
         time_point now,
         upstream_state const& entry,
         selection_context const& request);
+    [[nodiscard]] static bool
+    is_excluded(upstream_state const& entry, selection_context const& request);
+    [[nodiscard]] bool is_candidate(
+        time_point now,
+        upstream_state const& entry,
+        selection_context const& request) const;
+    [[nodiscard]] bool has_room(
+        time_point now,
+        upstream_state const& entry,
+        selection_context const& request) const;
+    /// Expected time in the queue of an upstream with `in_flight` requests.
+    [[nodiscard]] std::chrono::nanoseconds expected_wait(
+        upstream_state const& entry,
+        unsigned in_flight,
+        selection_context const& request) const;
     [[nodiscard]] double wait_cost(
         upstream_state const& entry,
         unsigned in_flight,
         selection_context const& request) const;
+    [[nodiscard]] upstream_choice make_choice(
+        time_point now,
+        upstream_state const& entry,
+        selection_context const& request,
+        bool is_trial) const;
     [[nodiscard]] unsigned
     total_in_flight(time_point now, upstream_state const& entry) const;
     [[nodiscard]] static double
@@ -261,6 +377,9 @@
     double m_reachable_share = 1.0;
     std::mt19937_64 m_random;
     idle_connection_check m_has_idle_connection;
+    std::set<failure_domain> m_evacuated;
+    warm_up_limiter m_warm_up;
+    passed_over_counts m_passed_over;
     std::map<upstream_tag, upstream_state> m_slots; ///< the endpoint set
     std::map<upstream_tag, unlisted_upstream> m_unlisted;
     std::unordered_map<upstream_tag, imported_estimate> m_imported;
--- a/src/replica_freshness.hpp
+++ b/src/replica_freshness.hpp
@@ -59,7 +59,7 @@
     [[nodiscard]] std::optional<time_point>
     unread_since(time_point now, duration min_length) const;
 
-    replica_freshness<config_version> m_policy;
+    replica_freshness<log_position> m_policy;
     replica_freshness<log_position> m_directory;
 };
 
--- a/src/tags.hpp
+++ b/src/tags.hpp
@@ -34,6 +34,15 @@
     return hash;
 }
 
+/// SplitMix64 finalizer, which mixes the bits of combined hashes.
+constexpr std::uint64_t mix_bits(std::uint64_t value)
+{
+    value += 0x9e3779b97f4a7c15;
+    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9;
+    value = (value ^ (value >> 27U)) * 0x94d049bb133111eb;
+    return value ^ (value >> 31U);
+}
+
 } // namespace briarhub
 
 #endif
--- a/src/upstream_directory.cpp
+++ b/src/upstream_directory.cpp
@@ -43,6 +43,24 @@
     return list;
 }
 
+/// When the upstream becomes warm; the epoch if it is.
+time_point warm_time(time_point now, upstream_entry const& entry)
+{
+    bool const is_cold =
+        entry.m_warm_up_remaining > std::chrono::milliseconds::zero();
+    return is_cold ? now + entry.m_warm_up_remaining : time_point{};
+}
+
+/// True if an upstream turned cold or warm, or turned cold again meanwhile. The
+/// end of a warm-up is a change too, so that a VM that starts does not get an
+/// old announcement of a peer that the upstream is cold.
+bool is_warm_up_change(time_point known, time_point announced)
+{
+    bool const was_cold = known != time_point{};
+    bool const is_cold = announced != time_point{};
+    return was_cold != is_cold || announced > known + warm_up_tolerance;
+}
+
 } // namespace
 
 std::string_view to_string(store_failure failure) noexcept
@@ -90,10 +108,10 @@
 bool upstream_directory::apply_record(
     time_point now, directory_record const& record)
 {
-    return record.m_is_removed ? remove(now, record) : put(record);
+    return record.m_is_removed ? remove(now, record) : put(now, record);
 }
 
-bool upstream_directory::put(directory_record const& record)
+bool upstream_directory::put(time_point now, directory_record const& record)
 {
     auto const removed = m_tombstones.find(record.m_key);
     if (removed != m_tombstones.end() &&
@@ -117,7 +135,7 @@
     auto const existing = m_entries.find(record.m_key);
     if (existing != m_entries.end())
     {
-        return update(existing->second, record, std::move(value));
+        return update(now, existing->second, record, std::move(value));
     }
     if (is_address_reused(record, value))
     {
@@ -131,7 +149,7 @@
              {}});
         return false;
     }
-    add(record, std::move(value));
+    add(now, record, std::move(value));
     return true;
 }
 
@@ -179,8 +197,9 @@
 }
 
 void upstream_directory::add(
-    directory_record const& record, upstream_entry value)
+    time_point now, directory_record const& record, upstream_entry value)
 {
+    auto const warm_at = warm_time(now, value);
     m_entries[record.m_key] = {
         std::move(value),
         record.m_value,
@@ -188,12 +207,14 @@
         record.m_position,
         std::nullopt,
         {},
+        warm_at,
         false};
     m_tombstones.erase(record.m_key);
     advance_last_change(record.m_position);
 }
 
 bool upstream_directory::update(
+    time_point now,
     directory_entry& entry,
     directory_record const& record,
     upstream_entry value)
@@ -230,9 +251,15 @@
         }
         return false;
     }
-    bool const is_changed = !is_same_upstream(entry.m_value, value);
+    auto const warm_at = warm_time(now, value);
+    bool const is_changed = !is_same_upstream(entry.m_value, value) ||
+                            is_warm_up_change(entry.m_warm_at, warm_at);
     bool const is_news_to_peers =
         is_changed || entry.m_removal_due || entry.m_is_lost;
+    if (is_news_to_peers)
+    {
+        entry.m_warm_at = warm_at;
+    }
     entry.m_value = std::move(value);
     entry.m_encoded_value = record.m_value;
     if (is_lost_record)
--- a/src/upstream_directory.hpp
+++ b/src/upstream_directory.hpp
@@ -64,8 +64,9 @@
 
     /// Applies records of an era in the order of their offsets. Returns true if
     /// an upstream was added or removed, or changed more than its sequence
-    /// number. Records of an era other than the directory's have no effect,
-    /// since changes between them are unknown.
+    /// number and the warm-up time that has passed since. Records of an era
+    /// other than the directory's have no effect, since changes between them
+    /// are unknown.
     bool
     apply(time_point now, store_era era, std::span<store_record const> records);
 
@@ -138,6 +139,7 @@
         log_position m_change_position;
         std::optional<time_point> m_removal_due;
         log_position m_removal_position; ///< of the deferred removal
+        time_point m_warm_at{}; ///< as of the last change; the epoch if warm
         /// The store lost the announcement, and its copy differs.
         bool m_is_lost = false;
     };
@@ -174,9 +176,11 @@
         time_point now,
         std::span<directory_record const> records,
         log_position last);
-    bool put(directory_record const& record);
-    void add(directory_record const& record, upstream_entry value);
+    bool put(time_point now, directory_record const& record);
+    void
+    add(time_point now, directory_record const& record, upstream_entry value);
     bool update(
+        time_point now,
         directory_entry& entry,
         directory_record const& record,
         upstream_entry value);
--- a/tests/edge/edge_test.py
+++ b/tests/edge/edge_test.py
@@ -701,6 +701,32 @@
             check(vm.process.poll() is None, "the process exited")
 
 
+async def test_invalid_statuses():
+    """A response whose status is none of HTTP's reaches the caller, a 101 makes the
+    request wait for its deadline, or an upstream that sends them is still trusted."""
+    for status in ("000", "099", "101", "600", "999"):
+        async with Fleet(vms=1, upstreams=2) as fleet:
+            caller = fleet.vms[0].caller()
+            for upstream in fleet.upstreams:
+                upstream.fault = lambda headers, status=status: f"status {status}"
+            response = await caller.request("w", "/write/x", method="POST")
+            check(response.status == 502, f"{status}: {response.status}")
+            check(b"may_have_run" in response.body, f"{status}: {response.body}")
+            check(len(runs_of(fleet, "w")) == 1, f"{status}: {len(runs_of(fleet, 'w'))} runs")
+            await fleet.wait_until(lambda: fleet.vms[0].events("request"))
+            (attempt,) = fleet.vms[0].events("request")[-1]["attempts"]
+            check((attempt["end"], attempt["error"]) == ("damaged", f"invalid status {int(status)}"),
+                  attempt)
+            _, metrics = await fleet.vms[0].get(9464, "/metrics")
+            check(b'briarhub_failed_attempts_total{end="damaged"} 1' in metrics, status)
+            # A request that may run again is served by the other upstream.
+            healthy = next(each for each in fleet.upstreams if not each.runs)
+            healthy.fault = None
+            response = await caller.request("r", "/read/x")
+            check(response.status == 200, f"{status}: {response.status} after a retry")
+            caller.close()
+
+
 async def restart_with_memory(fleet, memory_mb):
     """Restarts the fleet's VM with a memory limit in its settings; returns it."""
     vm = fleet.vms[0]
@@ -847,6 +873,36 @@
             check(name.encode() in text, name)
 
 
+async def test_full_upstreams_refuse_with_reason():
+    """A request joins a queue of an upstream beyond the limit of its priority, or
+    the log does not name what the refusal was based on."""
+    async with Fleet(vms=1, upstreams=1) as fleet:
+        vm = fleet.vms[0]
+        fleet.upstreams[0].fault = lambda headers: "hang"
+        # Two slots and 3.5 requests per slot at priority 1.
+        callers = [vm.caller() for _ in range(7)]
+        for number, caller in enumerate(callers):
+            await caller.send(f"running-{number}", "/write/x", method="POST")
+        await fleet.wait_until(lambda: len(fleet.upstreams[0].runs) == 7)
+        response = await vm.caller().request("full-1", "/write/x", method="POST")
+        check(response.status == 503, response.status)
+        check(response.elapsed_s < 0.2, response.elapsed_s)
+        check("retry-after" in response.headers, response.headers)
+        check(not runs_of(fleet, "full-1"), "a refused request ran")
+        await fleet.wait_until(
+            lambda: any(e["request"] == "full-1" for e in vm.events("request"))
+        )
+        (line,) = [e for e in vm.events("request") if e["request"] == "full-1"]
+        check(line["outcome"] == "upstreams_full", line)
+        check(line["admission"]["limit"] == 3.5, line)
+        check(line["admission"]["wait_ms"] > 0, line)
+        check(0 < line["admission"]["time_left_ms"] <= 1200, line)
+        _, text = await vm.get(9464, "/metrics")
+        check(b'reason="upstreams_full"' in text, "no counter of the reason")
+        for caller in callers:
+            caller.close()
+
+
 def documented_counters():
     """Returns the metric names in the documented table of edge counters."""
     path = os.path.join(os.path.dirname(__file__), "../../docs/OPERATIONS.md")
@@ -898,6 +954,9 @@
     check(len(names) > 12, names)
     async with Fleet(vms=2, upstreams=2) as fleet:
         vm = fleet.vms[0]
+        for upstream in fleet.upstreams:
+            upstream.fault = lambda headers: "status 000"
+        await vm.caller().request("damaged", "/write/x", method="POST")
         # A process that starts assumes that the retry budget of the last window is used.
         for upstream in fleet.upstreams:
             upstream.fault = lambda headers: "error"
--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -45,8 +45,8 @@
     return {"resource_kind": "tenants", "metadata": {"name": name}, "spec": spec}
 
 
-def service(name):
-    spec = {"health_path": "/health", "max_connections": 330}
+def service(name, **overrides):
+    spec = {"health_path": "/health", "max_connections": 330, **overrides}
     return {"resource_kind": "services", "metadata": {"name": name}, "spec": spec}
 
 
@@ -247,6 +247,13 @@
         vm.start()
         return vm
 
+    async def evacuate(self, failure_domain):
+        """Orders that no request reaches upstreams of the failure domain."""
+        await self.store.put("keyed.op", f"evacuate/{failure_domain}", b"{}")
+
+    async def end_evacuation(self, failure_domain):
+        await self.store.put("keyed.op", f"evacuate/{failure_domain}", None)
+
     @staticmethod
     async def wait_until(condition, timeout_s=5.0):
         """Polls until the condition holds; fails the test after the timeout."""
--- a/tests/edge/stand_ins.py
+++ b/tests/edge/stand_ins.py
@@ -305,6 +305,14 @@
         b"x" * 65536),
 }
 
+# Per fault, the start of a response, which is followed by HELD_BYTES and then by nothing.
+HELD_RESPONSES = {
+    "held_head": "HTTP/1.1 200 X\r\nHEADX-Long: ",
+    "held_trailer": ENDLESS_RESPONSES["endless_trailer"][0],
+    "held_extension": ENDLESS_RESPONSES["endless_extension"][0],
+}
+HELD_BYTES = 250_000
+
 
 class Upstream(Server):
     """An upstream that registers itself in the store and records its runs."""
@@ -323,6 +331,7 @@
         self.runs = []  # (time, request id, headers, body, request line)
         self.cancelled = []
         self.rate_limit = None  # value of the field that limits the fleet's requests/s
+        self.cold_until = 0.0  # announced as the time that it stays cold
         self.is_leaving = False  # True or a value: stated in every response
         self.retry_after = None  # value of the field in rejections ("shed")
         self.arrivals = []  # (time, request id) of all requests, including rejected ones
@@ -342,7 +351,7 @@
             "version": "v1",
             "slots": self.slots,
             "state": self.state,
-            "warmup_left_ms": 0,
+            "warmup_left_ms": max(0, int((self.cold_until - time.time()) * 1000)),
             "sequence": self.sequence,
             "born": self.started_ms,
         }
@@ -366,6 +375,12 @@
         except ConnectionError:
             pass
 
+    async def send_held_response(self, writer, fault, response_headers):
+        head = "".join(f"{name}: {value}\r\n" for name, value in response_headers.items())
+        writer.write(HELD_RESPONSES[fault].replace("HEAD", head).encode() + b"x" * HELD_BYTES)
+        await writer.drain()
+        await asyncio.sleep(30)
+
     def notice_headers(self):
         """Fields that tell about the upstream itself, in every response."""
         headers = {}
@@ -469,6 +484,11 @@
             elif fault in ENDLESS_RESPONSES:
                 await self.send_endless_response(writer, fault, response_headers)
                 return
+            elif fault and fault.startswith("status "):
+                writer.write(encode_response(fault.split()[1], response_headers, text))
+            elif fault in HELD_RESPONSES:
+                await self.send_held_response(writer, fault, response_headers)
+                return
             elif fault == "large":
                 writer.write(encode_response(200, response_headers, b"x" * 6_000_000))
             else:
--- a/tests/store_era_test.cpp
+++ b/tests/store_era_test.cpp
@@ -436,6 +436,12 @@
         return policy;
     }
 
+    [[nodiscard]] std::optional<std::variant<failure_domain, decode_failure>>
+    decode_evacuation(std::string_view) const override
+    {
+        return std::nullopt;
+    }
+
     [[nodiscard]] std::variant<upstream_entry, decode_failure>
     decode_upstream(std::string_view key, std::string_view value) const override
     {
