--- a/tests/warm_up_test.cpp
+++ b/tests/warm_up_test.cpp
@@ -402,6 +402,12 @@
         return std::bernoulli_distribution{probability}(m_random);
     }
 
+    auto random_vm()
+    {
+        return std::next(
+            m_vms.begin(), static_cast<long>(m_random() % m_vms.size()));
+    }
+
     milliseconds random_delay(unsigned limit_ms)
     {
         return milliseconds{m_random() % limit_ms};
@@ -427,7 +433,7 @@
     void disturb(milliseconds now)
     {
         auto& upstream = m_upstreams[m_random() % m_upstreams.size()];
-        auto const vm = std::next(m_vms.begin(), m_random() % m_vms.size());
+        auto const vm = random_vm();
         switch (m_random() % 8)
         {
         case 0: // a new process
@@ -587,7 +593,7 @@
     /// A request, and at times a retry of it at another upstream.
     void send_request(milliseconds now)
     {
-        auto const found = std::next(m_vms.begin(), m_random() % m_vms.size());
+        auto const found = random_vm();
         auto request = make_request(chance(0.5));
         std::vector<upstream_id> attempted;
         do
