--- a/tests/edge/edge_test.py
+++ b/tests/edge/edge_test.py
@@ -920,6 +920,8 @@
         await vm.caller().request("none", "/none/x")
         await fleet.store.put("keyed.servers", "forged", b"no entry")
         await fleet.store.put("keyed.op", "config", b"no configuration")
+        await fleet.evacuate("z9")
+        await fleet.evacuate("")
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
             for target in fleet.vms:
                 for data in (b"no gossip", gossip_of_newer_state(f"127.0.{fleet.subnet}.99")):
