--- a/src/replica_freshness.cpp
+++ b/src/replica_freshness.cpp
@@ -5,19 +5,17 @@
 namespace briarhub
 {
 
-template <class Version>
-void replica_freshness<Version>::set_version(Version version)
+void replica_freshness::set_version(log_position version)
 {
     m_version = version;
-    if (m_newer_version != Version{} && version >= m_newer_version)
+    if (m_newer_version != log_position{} && version >= m_newer_version)
     {
         confirm(m_newer_version, m_newer_confirmed);
-        m_newer_version = Version{};
+        m_newer_version = log_position{};
     }
 }
 
-template <class Version>
-void replica_freshness<Version>::confirm(Version version, time_point as_of)
+void replica_freshness::confirm(log_position version, time_point as_of)
 {
     m_last_confirmation = std::max(m_last_confirmation.value_or(as_of), as_of);
     if (version <= m_version)
@@ -35,8 +33,7 @@
     }
 }
 
-template <class Version>
-std::optional<duration> replica_freshness<Version>::age(time_point now) const
+std::optional<duration> replica_freshness::age(time_point now) const
 {
     if (!m_confirmed)
     {
@@ -45,15 +42,11 @@
     return std::max(now - *m_confirmed, duration::zero());
 }
 
-template <class Version>
-time_point replica_freshness<Version>::expiry(duration limit) const
+time_point replica_freshness::expiry(duration limit) const
 {
     return m_confirmed ? *m_confirmed + limit : time_point{};
 }
 
-template class replica_freshness<config_version>;
-template class replica_freshness<log_position>;
-
 std::optional<time_point>
 replicas_freshness::unread_since(time_point now, duration min_length) const
 {
--- a/src/replica_freshness.hpp
+++ b/src/replica_freshness.hpp
@@ -13,18 +13,18 @@
 namespace briarhub
 {
 
-/// `Version` is ordered; its default value stands for no version.
-template <class Version = config_version>
+/// A replica's version is the position of its last record; the default value
+/// stands for no version.
 class replica_freshness
 {
 public:
     /// Sets the version of this VM's replica.
-    void set_version(Version version);
+    void set_version(log_position version);
 
     /// `version` was the newest one in the store as of a time, so any later
     /// version is at least as new. What is known of a version that this VM does
     /// not have yet counts once it has it.
-    void confirm(Version version, time_point as_of);
+    void confirm(log_position version, time_point as_of);
 
     /// Time since the replica was last known to be the newest version; nullopt
     /// if that was never known.
@@ -41,16 +41,13 @@
     }
 
 private:
-    Version m_version{};
+    log_position m_version{};
     std::optional<time_point> m_confirmed;
-    Version m_newer_version{}; ///< newest version known of peers
+    log_position m_newer_version{}; ///< newest version known of peers
     time_point m_newer_confirmed{};
     std::optional<time_point> m_last_confirmation;
 };
 
-extern template class replica_freshness<config_version>;
-extern template class replica_freshness<log_position>;
-
 /// Freshness of the state that this VM replicates.
 struct replicas_freshness
 {
@@ -59,8 +56,8 @@
     [[nodiscard]] std::optional<time_point>
     unread_since(time_point now, duration min_length) const;
 
-    replica_freshness<log_position> m_policy;
-    replica_freshness<log_position> m_directory;
+    replica_freshness m_policy;
+    replica_freshness m_directory;
 };
 
 } // namespace briarhub
--- a/tests/warm_up_test.cpp
+++ b/tests/warm_up_test.cpp
@@ -228,14 +228,14 @@
     auto const apply = [&](milliseconds now, std::string const& value)
     {
         return directory.apply(
-            at(now), std::vector{store_record{"u0", value, ++offset}});
+            at(now), 0, std::vector{store_record{"u0", value, ++offset}});
     };
     CHECK(apply(0ms, "warm"));
     CHECK(!apply(1s, "warm"));
     CHECK(apply(2s, "cold"));
     CHECK(!apply(7s, "as expected"));
     CHECK(apply(8s, "later"));
-    CHECK(directory.last_change() == offset);
+    CHECK(directory.last_change() == log_position{0, offset});
     CHECK(apply(15s, "warm"));
     CHECK(!apply(16s, "warm"));
     CHECK(directory.usable()[0].m_warm_up_remaining == 0ms);
