--- a/tests/edge_policy_test.cpp
+++ b/tests/edge_policy_test.cpp
@@ -654,7 +654,7 @@
     message.m_upstreams.push_back(update);
     message.m_usage = {{4, 1000}};
     message.m_suspects = {{"digest", 2}};
-    message.m_state = {12, {3, 34}, true, true};
+    message.m_state = {12, {2, 56}, {3, 34}, true, true};
     message.m_replica_ages = {0ms, 1500ms};
     message.m_members = {{1, 2}};
     message.m_fleet_size = 36;
