Find the reason of a refusal as of the selection

The reason was looked for a moment after the selection, when a permit for the cold upstream was free again. It is now found with the time of the selection.

--- a/src/edge_attempts.cpp
+++ b/src/edge_attempts.cpp
@@ -135,6 +135,8 @@
         if (auto const* refused = std::get_if<admission_refusal>(&decision))
         {
             m_refusal = *refused;
+            m_obstacle =
+                m_state.m_load_balancer.find_obstacle(now, m_request.m_service);
             return std::nullopt;
         }
         return std::get<upstream_choice>(std::move(decision)).m_entry;
@@ -619,8 +621,7 @@
         {
             return result_code::stopping;
         }
-        auto const now = runtime_clock::now();
-        switch (m_state.m_load_balancer.find_obstacle(now, m_request.m_service))
+        switch (m_obstacle)
         {
         case load_balancer::obstacle::evacuated:
             return result_code::upstreams_evacuated;
@@ -735,6 +736,8 @@
     std::vector<upstream_id> m_attempted_upstreams;
     std::optional<exchange_result> m_error_response;
     std::optional<admission_refusal> m_refusal; ///< of the last decision
+    /// As of that decision: a moment later an upstream may be open again.
+    load_balancer::obstacle m_obstacle = load_balancer::obstacle::other;
     duration m_duration{};
     unsigned m_executed_attempts = 0;
     unsigned m_unexecuted_attempts = 0;
