Show that a late write brings a removed endpoint back into use (DRAIN)

Within an era of the store the directory doesn't compare a record with the last announcement of a removed endpoint.

--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,3 @@
+#!/bin/bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" && exec timeout 118 python3 -B case.py
