--- a/review/common-2/archive.py
+++ b/review/common-2/archive.py
@@ -13,7 +13,7 @@
 
 from endpoint import Endpoint
 from harness import (
-    BROKEN, HELD, Fleet, has_trouble, limits, route, service, tenant)
+    BROKEN, HELD, NOT_RUN, Fleet, has_trouble, limits, route, service, tenant)
 
 PIECE_BYTES = 4 * 1024
 ALLOWED_LOSSES = 3
@@ -134,7 +134,7 @@
             first = await caller.get("/archive/small")
             if not first.is_whole:
                 record.write("the small answer that opens the connection failed")
-                return 2
+                return NOT_RUN
         vm.signal(signal.SIGHUP)
         record.write(f"{vm.name} gets SIGHUP; its settings are as before")
         await asyncio.sleep(0.2)
--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -24,8 +24,10 @@
 
 BINARY = os.path.join(ROOT, "target", "briarhub-edge")
 
+# Results of a case, which run.sh turns into its exit codes. An error of Python itself
+# ends with 1, so that isn't among them.
 HELD = 0
-BROKEN = 1
+BROKEN = 10
 NOT_RUN = 2
 
 # The bounds of the users' installations (DEPLOY.md).
@@ -242,6 +244,9 @@
     record = Record(folder)
 
     async def run():
+        # A run that is stopped from outside ends its processes too.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         # Connections that end while a stand-in waits for them.
         asyncio.get_running_loop().set_exception_handler(
             lambda _, context: record.write(f"stand-in: {context.get('message')}"))
@@ -249,7 +254,7 @@
 
     try:
         result = asyncio.run(run())
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.write(f"the case could not run: {type(error).__name__} {error}")
         print(f"could not run: {error}")
         result = NOT_RUN
