Judge announcements after a removal by their sequence numbers

The entry came back at all VMs, and requests went there until the upstream exited.

Cause: within an era of the store, only the positions of two records told whether an announcement is from before a removal; the sequence number was compared only after the store had returned from an older copy. Evidence: all three VMs log `upstreams` with one less at the removal (offset 20) and with one more at the late write (offset 27). So a VM that missed the removal is ruled out.

A known removal now ends only with a later start time or a higher sequence number. Related paths with the same cause: a deferred removal that any record cancelled, the last announcement that a VM which does not read the store did not keep with a deferred removal, and a removal told by a peer that lost to a late write.

The three new cases of edge_policy_test failed before.

--- a/src/upstream_directory.cpp
+++ b/src/upstream_directory.cpp
@@ -13,6 +13,8 @@
 /// and a peer with an older offset receives a snapshot.
 constexpr std::size_t max_tombstones = 2000;
 
+constexpr std::string_view late_write_reason = "announced before its removal";
+
 /// Compares entries without the fields that change with each announcement.
 bool is_same_upstream(upstream_entry const& a, upstream_entry const& b)
 {
@@ -27,6 +29,17 @@
            std::pair{a.m_start_time, a.m_sequence};
 }
 
+/// True if an announcement with a lower sequence number can be that of a new
+/// process, since it has no start time. A store that returns from an older copy
+/// brings back earlier ones, so there it is taken for one of them.
+bool may_be_restart(
+    upstream_entry const& announced,
+    log_position position,
+    log_position removal)
+{
+    return announced.m_start_time == 0 && position.m_era == removal.m_era;
+}
+
 std::vector<directory_record>
 with_positions(store_era era, std::span<store_record const> records)
 {
@@ -129,6 +142,7 @@
     if (is_known_removed(record, value))
     {
         ++m_outdated;
+        reject_late_write(record, removed->second);
         renew_removal(removed->second, record.m_position);
         return false;
     }
@@ -153,19 +167,36 @@
     return true;
 }
 
-/// An older copy of the store has entries of upstreams that left since. Such an
-/// entry counts again once the upstream announces itself later than that.
+/// True if the upstream announced this before its removal: the store can
+/// execute a write seconds after it was sent, and an older copy of the store
+/// has entries of upstreams that left since. Such an entry counts again once
+/// the upstream announces itself later than that.
 bool upstream_directory::is_known_removed(
     directory_record const& record, upstream_entry const& value) const
 {
     auto const removed = m_tombstones.find(record.m_key);
-    if (removed == m_tombstones.end() ||
-        record.m_position.m_era == removed->second.m_position.m_era)
+    if (removed == m_tombstones.end())
     {
         return false;
     }
-    return std::pair{value.m_start_time, value.m_sequence} <=
-           std::pair{removed->second.m_start_time, removed->second.m_sequence};
+    auto const& last = removed->second;
+    return !may_be_restart(value, record.m_position, last.m_position) &&
+           std::pair{value.m_start_time, value.m_sequence} <=
+               std::pair{last.m_start_time, last.m_sequence};
+}
+
+/// Reports a late write once. What an older copy of the store has is reported
+/// with the change of the era.
+void upstream_directory::reject_late_write(
+    directory_record const& record, tombstone const& removed) const
+{
+    bool const is_late_write =
+        record.m_position.m_era == removed.m_position.m_era &&
+        record.m_position > removed.m_change_position;
+    if (is_late_write)
+    {
+        m_on_reject(record.m_key, std::string{late_write_reason});
+    }
 }
 
 /// True if an upstream of the older copy has an address that a later process is
@@ -235,11 +266,9 @@
     {
         return false;
     }
-    // The copy may have the announcement that was known before the removal.
+    // A late write, or the copy, can have what was known before the removal.
     bool const is_removal_later =
-        entry.m_removal_due &&
-        entry.m_removal_position.m_era < record.m_position.m_era &&
-        !supersedes(value, entry.m_value);
+        entry.m_removal_due && !supersedes(value, entry.m_value);
     if (is_removal_later || supersedes(entry.m_value, value))
     {
         bool const is_older_copy =
@@ -335,6 +364,7 @@
     {
         entry.m_removal_due = m_removal_grace_end;
         entry.m_removal_position = removal.m_position;
+        adopt_last_announcement(entry, removal);
         return false;
     }
     tombstone removed{
@@ -349,8 +379,9 @@
     return true;
 }
 
-/// True if the upstream has not announced itself since the removal. An entry of
-/// a later era can come from an older copy; then the announcements tell.
+/// True if the upstream has not announced itself since the removal. An entry
+/// after it can come from a late write or, in a later era, from an older copy;
+/// then the announcements tell.
 bool upstream_directory::removes(
     directory_record const& removal, directory_entry const& entry) const
 {
@@ -358,8 +389,8 @@
     {
         return true;
     }
-    if (removal.m_position.m_era == entry.m_position.m_era ||
-        removal.m_value.empty())
+    if (removal.m_value.empty() ||
+        may_be_restart(entry.m_value, entry.m_position, removal.m_position))
     {
         return false;
     }
@@ -368,6 +399,27 @@
     return last != nullptr && !supersedes(entry.m_value, *last);
 }
 
+/// A VM that does not read the store gets the last announcement with the
+/// removal. Until the deferred removal is due, only a later one cancels it.
+void upstream_directory::adopt_last_announcement(
+    directory_entry& entry, directory_record const& removal) const
+{
+    if (removal.m_value.empty())
+    {
+        return;
+    }
+    auto decoded = m_decode(removal.m_key, removal.m_value);
+    auto* last = std::get_if<upstream_entry>(&decoded);
+    bool const is_later = last != nullptr &&
+                          is_same_upstream(*last, entry.m_value) &&
+                          supersedes(*last, entry.m_value);
+    if (is_later)
+    {
+        entry.m_value = std::move(*last);
+        entry.m_encoded_value = removal.m_value;
+    }
+}
+
 /// Keeps the last announcement that a peer knew of a removed upstream: a VM
 /// that does not read the store knows only those that changed something.
 void upstream_directory::remember_removal(directory_record const& removal)
--- a/src/upstream_directory.hpp
+++ b/src/upstream_directory.hpp
@@ -3,7 +3,9 @@
 
 /// The endpoint set: all upstreams that are registered in the store. Each
 /// change carries its position in the store, so that a peer can fetch only the
-/// changes after the last one it has applied. When the store returns from an
+/// changes after the last one it has applied. An upstream's own announcements
+/// are ordered by its start time and sequence number, since the store can
+/// execute a write late. When the store returns from an
 /// older copy, a snapshot of the later era replaces the positions, and what was
 /// known of each upstream remains known. Does no I/O and reads no clock.
 
@@ -188,6 +190,10 @@
         directory_record const& removal, directory_entry const& entry) const;
     [[nodiscard]] bool is_known_removed(
         directory_record const& record, upstream_entry const& value) const;
+    void reject_late_write(
+        directory_record const& record, tombstone const& removed) const;
+    void adopt_last_announcement(
+        directory_entry& entry, directory_record const& removal) const;
     [[nodiscard]] bool is_address_reused(
         directory_record const& record, upstream_entry const& value) const;
     [[nodiscard]] bool is_later_era(log_position position) const;
--- a/tests/edge_policy_test.cpp
+++ b/tests/edge_policy_test.cpp
@@ -435,6 +435,62 @@
     CHECK(apply_one(directory, at(0ms), put("a", "1 3 r", 6)));
 }
 
+TEST_CASE("a late write does not undo a removal")
+{
+    // The store can execute a write seconds after it was sent, so an entry came
+    // back after its upstream had left, and requests went there until it
+    // exited.
+    auto directory = make_directory();
+    apply_one(directory, at(0ms), put("a", "1 5 r", 2));
+    apply_one(directory, at(0ms), removal("a", 3));
+    CHECK(!apply_one(directory, at(0ms), put("a", "1 4 r", 4)));
+    CHECK(!apply_one(directory, at(0ms), put("a", "1 5 r", 5)));
+    CHECK(directory.usable().empty());
+    CHECK(apply_one(directory, at(0ms), put("a", "1 6 r", 6)));
+    // A process that starts under the same id counts from the beginning.
+    CHECK(apply_one(directory, at(0ms), removal("a", 7)));
+    CHECK(apply_one(directory, at(0ms), put("a", "2 1 r", 8)));
+    // Without a start time a restart can not be told from a late write.
+    apply_one(directory, at(0ms), put("b", "0 5 r", 9));
+    CHECK(apply_one(directory, at(0ms), removal("b", 10)));
+    CHECK(apply_one(directory, at(0ms), put("b", "0 1 r", 11)));
+}
+
+TEST_CASE("a late write does not undo a removal that peers provided")
+{
+    // VMs that do not read the store know only the first announcement.
+    auto reader = make_directory();
+    apply_one(reader, at(0ms), put("a", "1 1 r", 1));
+    auto peer = make_directory();
+    auto deferring_peer = make_directory();
+    peer.adopt(at(0ms), reader.changes_since({0, 0}));
+    deferring_peer.adopt(at(0ms), reader.changes_since({0, 0}));
+    apply_one(reader, at(0ms), put("a", "1 5 r", 2));
+    apply_one(reader, at(0ms), removal("a", 3));
+    deferring_peer.start_removal_grace(at(0ms));
+    for (auto* directory : {&peer, &deferring_peer})
+    {
+        directory->adopt(at(0ms), reader.changes_since({0, 1}));
+        apply_one(*directory, at(100ms), put("a", "1 4 r", 4));
+        directory->remove_expired(at(2s));
+        CHECK(directory->usable().empty());
+    }
+}
+
+TEST_CASE("a peer drops an entry that only a late write has")
+{
+    auto reader = make_directory();
+    apply_one(reader, at(0ms), put("a", "1 5 r", 2));
+    apply_one(reader, at(0ms), removal("a", 3));
+    auto newcomer = make_directory();
+    newcomer.apply_snapshot(at(0ms), std::vector{put("a", "1 4 r", 4)}, {0, 5});
+    REQUIRE(usable_ids(newcomer) == std::set<upstream_id>{"a"});
+    apply_one(reader, at(0ms), put("a", "1 4 r", 4));
+    apply_one(reader, at(0ms), put("b", "1 1 r", 5));
+    newcomer.adopt(at(0ms), reader.changes_since({0, 3}));
+    CHECK(usable_ids(newcomer) == std::set<upstream_id>{"b"});
+}
+
 TEST_CASE("entries that expired during a store outage get a grace period")
 {
     auto directory = make_directory();
