Do not take callers that read late for dead

Cause: TCP_USER_TIMEOUT of 3 s on callers' connections. The kernel applies it to a closed window too, although the peer answers each window probe. Evidence: the request log has all eight as served after 60 ms, so no timer of ours ended them; the reset comes after 3 s, and the timeout for writes is 10 s.

Callers' connections have no TCP_USER_TIMEOUT now. A caller that is gone is noticed by keep-alive probes, the timeout for writes and the idle timeout; the last chunk of a streamed response had none of these and gets the timeout for writes. Responses that callers did not take whole are counted, since nothing told of them.

--- a/src/edge_session.cpp
+++ b/src/edge_session.cpp
@@ -158,7 +158,11 @@
     : m_socket(std::move(socket)), m_state(std::move(state)),
       m_input(m_state->m_buffers), m_timer(m_state->m_io)
 {
-    set_socket_options(m_socket);
+    // A caller may read its response late, within its own time limit. One that
+    // is gone is noticed by the timeouts of reads and writes.
+    socket_options options;
+    options.m_user_timeout = std::nullopt;
+    set_socket_options(m_socket, options);
     error_code ignored;
     m_socket.non_blocking(true, ignored);
 }
@@ -540,6 +544,7 @@
     cancel_timeout();
     if (write_error && write_error != http::error::end_of_stream)
     {
+        count_unfinished_response();
         abort();
         co_return false;
     }
@@ -569,7 +574,7 @@
     auto [error, bytes] =
         co_await http::async_write_header(m_socket, serializer, use_tuple);
     cancel_timeout();
-    co_return !error;
+    co_return is_written(error);
 }
 
 asio::awaitable<bool> edge_session::write_stream_data(std::string_view data)
@@ -585,7 +590,7 @@
     auto [error, bytes] =
         co_await asio::async_write(m_socket, buffers, use_tuple);
     cancel_timeout();
-    co_return !error;
+    co_return is_written(error);
 }
 
 asio::awaitable<bool> edge_session::end_stream()
@@ -594,9 +599,27 @@
     {
         co_return true;
     }
+    start_timeout(write_timeout);
     auto [error, bytes] = co_await asio::async_write(
         m_socket, asio::buffer(last_chunk), use_tuple);
-    co_return !error;
+    cancel_timeout();
+    co_return is_written(error);
+}
+
+/// Evaluates the write of a part of a streamed response.
+bool edge_session::is_written(error_code const& error)
+{
+    if (error)
+    {
+        count_unfinished_response();
+    }
+    return !error;
+}
+
+void edge_session::count_unfinished_response()
+{
+    m_state->count_unfinished_response(
+        m_is_timed_out ? "timeout" : "disconnected");
 }
 
 /// Shuts down the sending side and discards further input (lingering close).
--- a/src/edge_session.hpp
+++ b/src/edge_session.hpp
@@ -72,6 +72,8 @@
         std::optional<std::uint64_t> length);
     boost::asio::awaitable<bool> write_stream_data(std::string_view data);
     boost::asio::awaitable<bool> end_stream();
+    bool is_written(boost::system::error_code const& error);
+    void count_unfinished_response();
     boost::asio::awaitable<void> close_gracefully();
     [[nodiscard]] response_stream make_stream();
     void watch_for_disconnect();
--- a/src/edge_state.cpp
+++ b/src/edge_state.cpp
@@ -236,6 +236,15 @@
         .add();
 }
 
+void edge_state::count_unfinished_response(std::string_view reason)
+{
+    m_metrics
+        .get_counter(
+            "briarhub_unfinished_responses_total",
+            {{"reason", std::string{reason}}})
+        .add();
+}
+
 void edge_state::record_rate_limit(
     upstream_id const& upstream, rate_limit_notice const& notice)
 {
--- a/src/edge_state.hpp
+++ b/src/edge_state.hpp
@@ -87,6 +87,8 @@
     /// Counts an attempt without a complete response, by how it ended.
     void count_failed_attempt(std::string_view end);
     void count_denied_retry(std::string_view reason);
+    /// Counts a response that its caller did not take whole.
+    void count_unfinished_response(std::string_view reason);
 
     /// Logs that an upstream states another rate limit than before.
     void record_rate_limit(
--- a/src/socket_options.cpp
+++ b/src/socket_options.cpp
@@ -26,11 +26,7 @@
     int const descriptor = socket.native_handle();
     set_option(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
     set_option(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
-    set_option(
-        descriptor,
-        IPPROTO_TCP,
-        TCP_USER_TIMEOUT,
-        static_cast<int>(options.m_user_timeout.count()));
+    set_user_timeout(socket, options.m_user_timeout);
     auto const interval =
         static_cast<int>(options.m_keepalive_interval.count());
     set_option(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, interval);
@@ -42,4 +38,17 @@
         static_cast<int>(options.m_keepalive_probes));
 }
 
+void set_user_timeout(
+    boost::asio::ip::tcp::socket& socket,
+    std::optional<std::chrono::milliseconds> timeout)
+{
+    // 0 is the kernel's own limit, which is several minutes.
+    set_option(
+        socket.native_handle(),
+        IPPROTO_TCP,
+        TCP_USER_TIMEOUT,
+        static_cast<int>(
+            timeout.value_or(std::chrono::milliseconds{0}).count()));
+}
+
 } // namespace briarhub
--- a/src/socket_options.hpp
+++ b/src/socket_options.hpp
@@ -7,16 +7,22 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <chrono>
+#include <optional>
 
 namespace briarhub
 {
 
+/// How long sent data may stay unacknowledged before the kernel closes the
+/// connection.
+inline constexpr std::chrono::milliseconds default_user_timeout{3000};
+
 /// Timeouts after which the kernel closes an unresponsive connection.
 struct socket_options
 {
-    /// Closes the connection if sent data stays unacknowledged for this long
-    /// (TCP_USER_TIMEOUT).
-    std::chrono::milliseconds m_user_timeout{3000};
+    /// TCP_USER_TIMEOUT; nullopt for none. The kernel applies it also to a peer
+    /// that is alive and does not read.
+    std::optional<std::chrono::milliseconds> m_user_timeout =
+        default_user_timeout;
     /// Idle time before the first keep-alive probe, and the time between
     /// probes.
     std::chrono::seconds m_keepalive_interval{1};
@@ -29,6 +35,11 @@
 void set_socket_options(
     boost::asio::ip::tcp::socket& socket, socket_options const& options = {});
 
+/// Sets TCP_USER_TIMEOUT alone; nullopt for none.
+void set_user_timeout(
+    boost::asio::ip::tcp::socket& socket,
+    std::optional<std::chrono::milliseconds> timeout);
+
 } // namespace briarhub
 
 #endif
--- a/tests/edge/edge_test.py
+++ b/tests/edge/edge_test.py
@@ -962,6 +962,12 @@
             upstream.fault = lambda headers: "error"
         await vm.caller().request("denied", "/read/x")
         await asyncio.sleep(RETRY_WINDOW_S)
+        for upstream in fleet.upstreams:
+            upstream.fault = lambda headers: "endless_body"
+        leaving = vm.caller()
+        await leaving.send("unfinished", "/read/x")
+        await asyncio.sleep(0.5)
+        leaving.close()
         fleet.upstreams[1].fault = None
         fleet.upstreams[0].fault = lambda headers: "error"
         fleet.upstreams[1].rate_limit = "a few"
--- a/tests/edge/stand_ins.py
+++ b/tests/edge/stand_ins.py
@@ -328,6 +328,7 @@
         self.sequence = 0
         self.started_ms = int(time.time() * 1000)
         self.service_time_s = 0.01
+        self.response_bytes = None  # length of response bodies; None for a short text
         self.runs = []  # (time, request id, headers, body, request line)
         self.cancelled = []
         self.rate_limit = None  # value of the field that limits the fleet's requests/s
@@ -463,6 +464,8 @@
                 **self.notice_headers(),
             }
             text = f"answer of {self.name} to {request_id}".encode()
+            if self.response_bytes is not None:
+                text = b"x" * self.response_bytes
             if fault == "error":
                 writer.write(encode_response(500, response_headers, b"failed"))
             elif fault == "truncate":
