Let a response be written until the deadline of its request

A response whose caller reads nothing for 11 s, within a time limit of 14 s, was cut off: the timeout for writes is 10 s, whatever time limit the route and the caller have. It lasts until the deadline of the request now if that is later; the operators' timeout of the route bounds it.

slow_reader_test.py, test_response_that_waits_longer_than_a_write_may: 0 of 4 responses of 1.9 MB whole before, 4 of 4 after.

--- a/src/edge_session.cpp
+++ b/src/edge_session.cpp
@@ -39,8 +39,9 @@
 /// A request's head is in memory twice while it is sent to an upstream.
 constexpr std::size_t head_copies = 2;
 
-/// A caller that does not read a response within this time is disconnected.
-constexpr std::chrono::seconds write_timeout{10};
+/// A caller that does not read a response within this time, or by the deadline
+/// of its request if that is later, is disconnected.
+constexpr std::chrono::seconds min_write_timeout{10};
 
 /// A request waits this long for the first policy and set of upstreams. The
 /// Retry-After of a refusal is as long.
@@ -241,6 +242,7 @@
     }
     auto& request = std::get<edge_request>(outcome);
     request.m_caller = &m_caller;
+    m_response_deadline = {};
     active_request_scope const active_request{*m_state};
     watch_for_disconnect();
     auto result = co_await process_request(request);
@@ -256,6 +258,7 @@
     {
         co_return *refused;
     }
+    m_response_deadline = request.m_deadline;
     auto const stream = make_stream();
     co_return co_await run_attempts(*m_state, request, stream);
 }
@@ -527,7 +530,7 @@
     http::response_serializer<http::string_body> serializer{response};
     bool const is_head = request.m_head.method() == http::verb::head;
     serializer.split(is_head);
-    start_timeout(write_timeout);
+    start_timeout(write_timeout());
     error_code write_error;
     if (is_head)
     {
@@ -570,7 +573,7 @@
     m_keep_alive = m_keep_alive && !m_state->m_closes_after_response;
     response.keep_alive(m_keep_alive);
     http::response_serializer<http::empty_body> serializer{response};
-    start_timeout(write_timeout);
+    start_timeout(write_timeout());
     auto [error, bytes] =
         co_await http::async_write_header(m_socket, serializer, use_tuple);
     cancel_timeout();
@@ -586,7 +589,7 @@
         asio::buffer(size),
         asio::buffer(data.data(), data.size()),
         asio::buffer(end.data(), end.size())};
-    start_timeout(write_timeout);
+    start_timeout(write_timeout());
     auto [error, bytes] =
         co_await asio::async_write(m_socket, buffers, use_tuple);
     cancel_timeout();
@@ -599,13 +602,19 @@
     {
         co_return true;
     }
-    start_timeout(write_timeout);
+    start_timeout(write_timeout());
     auto [error, bytes] = co_await asio::async_write(
         m_socket, asio::buffer(last_chunk), use_tuple);
     cancel_timeout();
     co_return is_written(error);
 }
 
+duration edge_session::write_timeout() const
+{
+    return std::max<duration>(
+        min_write_timeout, m_response_deadline - runtime_clock::now());
+}
+
 /// Evaluates the write of a part of a streamed response.
 bool edge_session::is_written(error_code const& error)
 {
--- a/src/edge_session.hpp
+++ b/src/edge_session.hpp
@@ -72,6 +72,7 @@
         std::optional<std::uint64_t> length);
     boost::asio::awaitable<bool> write_stream_data(std::string_view data);
     boost::asio::awaitable<bool> end_stream();
+    [[nodiscard]] duration write_timeout() const;
     bool is_written(boost::system::error_code const& error);
     void count_unfinished_response();
     boost::asio::awaitable<void> close_gracefully();
@@ -88,6 +89,8 @@
     input_buffer m_input;
     timer m_timer;
     std::uint64_t m_timer_generation = 0;
+    time_point
+        m_response_deadline{}; ///< the epoch before a request is admitted
     bool m_is_idle = false;
     bool m_is_timed_out = false;
     bool m_is_out_of_space = false; ///< the last read had no buffer space
--- a/tests/edge/slow_reader_test.py
+++ b/tests/edge/slow_reader_test.py
@@ -69,5 +69,11 @@
     await check_paused_responses(540_000, pause_s=4.0, time_limit_ms=8000)
 
 
+async def test_response_that_waits_longer_than_a_write_may():
+    """A response is cut off by a timeout for its write that ends before the time limit of
+    its caller."""
+    await check_paused_responses(1_900_000, pause_s=11.0, time_limit_ms=14000)
+
+
 if __name__ == "__main__":
     sys.exit(run_tests(globals(), sys.argv[1:]))
