Do not take upstreams that read late for dead

An upstream that read a request of 1 MB 4 s late, within its deadline of 8 s, had its connection reset after 3 s. Its caller got 502 for a request that must not run twice, while the upstream worked on it.

Connections to upstreams keep the timeout, since it shows those that went silent, but not while they carry a request with a body of over 8 KiB: a shorter one fits into any receive buffer and is acknowledged even if nobody reads it.

slow_reader_test.py, test_request_that_waits_for_its_upstream: status 502 before, 200 after.

--- a/src/upstream_exchange.cpp
+++ b/src/upstream_exchange.cpp
@@ -49,6 +49,10 @@
 /// connection up to this much earlier.
 constexpr std::chrono::milliseconds idle_timeout_margin{1000};
 
+/// Receive buffers hold a request with a body up to this size, so it is
+/// acknowledged even if the upstream does not read it yet.
+constexpr std::size_t max_unread_body_bytes = 8 * 1024;
+
 /// Idle timeout for an upstream that advertises none.
 constexpr std::chrono::milliseconds default_idle_timeout{4000};
 
@@ -218,6 +222,11 @@
     void start_write()
     {
         m_result.m_sent = true;
+        if (may_wait_for_reader())
+        {
+            // The deadline of the request limits the wait.
+            set_user_timeout(socket(), std::nullopt);
+        }
         http::async_write(
             socket(),
             m_state->m_message,
@@ -421,12 +430,23 @@
             !m_state->m_is_stopped;
         if (is_reusable)
         {
+            if (may_wait_for_reader())
+            {
+                set_user_timeout(socket(), default_user_timeout);
+            }
             auto const limit = idle_timeout_from(m_result.m_head);
             connection().m_idle_deadline = runtime_clock::now() + limit;
             m_pool.return_idle(std::move(m_state->m_connection));
         }
     }
 
+    /// True if the request stays unacknowledged while the upstream, which is
+    /// alive, does not read it.
+    [[nodiscard]] bool may_wait_for_reader() const
+    {
+        return m_state->m_body->size() > max_unread_body_bytes;
+    }
+
     void finish()
     {
         bool const is_answered = m_result.m_end == exchange_end::answered;
--- a/tests/edge/slow_reader_test.py
+++ b/tests/edge/slow_reader_test.py
@@ -1,4 +1,4 @@
-"""Callers that read nothing for some seconds, at real edge processes.
+"""Callers and upstreams that read nothing for some seconds, at real edge processes.
 
 The docstring of each test names the failure that it guards against. Needs no
 test bench of the platform: `python3 tests/edge/slow_reader_test.py [NAME...]`.
@@ -11,7 +11,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
-from stand_ins import Caller  # noqa: E402
+from stand_ins import Caller, Upstream  # noqa: E402
 from runner import check, run_tests  # noqa: E402
 from fleet import FRONT_PORT, Fleet, account, limits, route, service  # noqa: E402
 
@@ -75,5 +75,23 @@
     await check_paused_responses(1_900_000, pause_s=11.0, time_limit_ms=14000)
 
 
+async def test_request_that_waits_for_its_upstream():
+    """An upstream that reads a long request some seconds late is taken for dead, and the
+    request is reset while the upstream works on it."""
+    async with Fleet(vms=1, upstreams=0) as fleet:
+        await fleet.configure([
+            route("write", "/write/", "desk", kind="non_idempotent", timeout_ms=8000),
+            service("desk"), account("acme", ["key-a"]), limits()])
+        upstream = Upstream(fleet.store, "i-slow", "desk")
+        upstream.body_delay_s = 4.0
+        await upstream.listen(receive_buffer_bytes=RECEIVE_BUFFER_BYTES)
+        await upstream.register()
+        fleet.upstreams.append(upstream)
+        await asyncio.sleep(1)
+        response = await fleet.vms[0].caller().request(
+            "w", "/write/x", method="POST", body=b"x" * 1_000_000, remaining_ms=8000)
+        check(response.status == 200, response.status)
+
+
 if __name__ == "__main__":
     sys.exit(run_tests(globals(), sys.argv[1:]))
--- a/tests/edge/stand_ins.py
+++ b/tests/edge/stand_ins.py
@@ -7,6 +7,7 @@
 import asyncio
 import base64
 import json
+import socket
 import struct
 import time
 
@@ -26,12 +27,14 @@
     return lines[0], headers
 
 
-async def read_message(reader):
-    """Reads one message; returns (start line, headers, body), None at the end."""
+async def read_message(reader, body_delay_s=0.0):
+    """Reads one message; returns (start line, headers, body), None at the end. Reads
+    nothing for `body_delay_s` after the head."""
     head = await read_head(reader)
     if head is None:
         return None
     line, headers = head
+    await asyncio.sleep(body_delay_s)
     try:
         if headers.get("transfer-encoding", "").lower() == "chunked":
             body = b""
@@ -66,8 +69,11 @@
         self.port = 0
         self.writers = set()
 
-    async def listen(self, host="127.0.0.1", port=0):
-        self.server = await asyncio.start_server(self._handle_connection, host, port)
+    async def listen(self, host="127.0.0.1", port=0, receive_buffer_bytes=None):
+        listener = socket.create_server((host, port))
+        if receive_buffer_bytes:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
+        self.server = await asyncio.start_server(self._handle_connection, sock=listener)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
@@ -328,6 +334,7 @@
         self.sequence = 0
         self.started_ms = int(time.time() * 1000)
         self.service_time_s = 0.01
+        self.body_delay_s = 0.0  # between reading the head and the body of a request
         self.response_bytes = None  # length of response bodies; None for a short text
         self.runs = []  # (time, request id, headers, body, request line)
         self.cancelled = []
@@ -397,7 +404,7 @@
     async def serve(self, reader, writer):
         idle_since = None
         while True:
-            message = await read_message(reader)
+            message = await read_message(reader, self.body_delay_s)
             if message is None:
                 return
             resets_idle = self.idle_reset_after_s is not None and idle_since is not None
