Let the next attempt tell a crash from a stale connection

Cause: the reset of a reused connection within 20 ms is that of a crash or of a stale connection. For idempotent requests only a retry told, so without one (`max_attempts` 1, no permit, no time) the crash counted nowhere. Evidence: each line of the request in the log has one attempt, `closed_unread` after 0 ms with `kept_connection`; the VM that saw the crash did not refuse it either, which rules out lost messages between VMs.

A request that ends with such a reset unexplained becomes suspect at all VMs without a crash, and a suspect request gets a new connection, whose reset is a crash. So it reaches three upstreams. To count the reset at once was weighed: two idle connections that upstreams close would have a popular read refused for ten minutes.

--- a/src/edge_attempts.cpp
+++ b/src/edge_attempts.cpp
@@ -71,6 +71,14 @@
     {
         m_state.m_retries.request_started(
             runtime_clock::now(), m_request.m_service);
+        auto reply = co_await attempt_until_final();
+        report_unexplained_reset();
+        co_return reply;
+    }
+
+private:
+    asio::awaitable<edge_reply> attempt_until_final()
+    {
         for (;;)
         {
             auto const target = choose_upstream();
@@ -104,7 +112,6 @@
         }
     }
 
-private:
     std::optional<upstream_entry> choose_upstream()
     {
         auto const now = runtime_clock::now();
@@ -216,10 +223,13 @@
     }
 
     /// While reused connections are suspected to be stale, a few idempotent
-    /// requests use them to detect when they work again.
+    /// requests use them to detect when they work again. A suspect request uses
+    /// a new connection, so that a reset of it can only be a crash.
     [[nodiscard]] bool may_reuse()
     {
-        if (m_had_stale_reset)
+        bool const is_suspect = m_state.m_suspects.is_suspect(
+            runtime_clock::now(), m_request.m_digest);
+        if (m_had_stale_reset || is_suspect)
         {
             return false;
         }
@@ -393,6 +403,7 @@
             }
             return exchange_outcome::not_executed;
         }
+        m_has_unexplained_reset = false;
         if (!is_valid_response(result.m_head) || status >= 500)
         {
             load_balancer.observe(now, tag, observation::failed);
@@ -471,6 +482,7 @@
     void handle_stale_reset(time_point now)
     {
         m_had_stale_reset = true;
+        m_has_unexplained_reset = true;
         bool const is_crash =
             !m_request.m_route->m_is_idempotent &&
             !m_state.m_load_balancer.resets_reused_connections(
@@ -483,9 +495,24 @@
 
     void record_crash(time_point now)
     {
+        m_has_unexplained_reset = false;
         m_state.m_suspects.report_crash(now, m_request.m_digest);
     }
 
+    /// Without a retry that told a stale connection from a crash, the next
+    /// attempt of the same request has to tell, at whichever VM it arrives.
+    void report_unexplained_reset()
+    {
+        if (!m_has_unexplained_reset)
+        {
+            return;
+        }
+        m_state.m_suspects.report_reset(
+            runtime_clock::now(), m_request.m_digest);
+        m_state.count_unexplained_reset();
+        notify_gossip_update();
+    }
+
     /// Stores an upstream's error response, which is forwarded if no other
     /// upstream serves the request.
     void record_failure(exchange_outcome outcome, exchange_result&& result)
@@ -747,6 +774,8 @@
     bool m_has_timed_out = false;
     bool m_found_spare_slots = false; ///< the last attempt at its upstream
     bool m_had_stale_reset = false;   ///< a reused connection was reset
+    /// That may have been a crash; no later attempt has told yet.
+    bool m_has_unexplained_reset = false;
 };
 
 } // namespace
--- a/src/edge_state.cpp
+++ b/src/edge_state.cpp
@@ -245,6 +245,11 @@
         .add();
 }
 
+void edge_state::count_unexplained_reset()
+{
+    m_metrics.get_counter("briarhub_unexplained_resets_total").add();
+}
+
 void edge_state::record_rate_limit(
     upstream_id const& upstream, rate_limit_notice const& notice)
 {
--- a/src/edge_state.hpp
+++ b/src/edge_state.hpp
@@ -89,6 +89,9 @@
     void count_denied_retry(std::string_view reason);
     /// Counts a response that its caller did not take whole.
     void count_unfinished_response(std::string_view reason);
+    /// Counts a request after whose reset nothing told whether its upstream
+    /// crashed.
+    void count_unexplained_reset();
 
     /// Logs that an upstream states another rate limit than before.
     void record_rate_limit(
--- a/tests/edge/edge_test.py
+++ b/tests/edge/edge_test.py
@@ -548,6 +548,28 @@
         check(count_runs() == crashes, "a restarted fleet ran the request again")
 
 
+async def test_crashes_without_a_retry():
+    """A request that crashes upstreams on kept connections, and that may not be sent
+    again, is never refused."""
+    async with Fleet(vms=2) as fleet:
+        resources = default_resources()
+        resources[0]["spec"]["max_attempts"] = 1
+        await fleet.configure(resources)
+        await asyncio.sleep(1)
+        for upstream in fleet.upstreams:
+            upstream.fault = lambda headers: (
+                "reset" if headers["briarhub-request-id"].startswith("p") else None)
+        for number in range(7):
+            vm = fleet.vms[number % 2]
+            for ordinary in range(12):
+                await vm.caller().request(f"o{number}-{ordinary}", f"/read/{number}-{ordinary}")
+            await vm.caller().request(f"p{number}", "/read/poison")
+            # Resets in quick succession would end the use of kept connections.
+            await asyncio.sleep(3.2)
+        crashes = sum(len(runs_of(fleet, f"p{number}")) for number in range(7))
+        check(crashes <= 3, f"{crashes} upstreams crashed")
+
+
 def reset_peak_memory(vm):
     with open(f"/proc/{vm.process.pid}/clear_refs", "w", encoding="utf-8") as file:
         file.write("5")
@@ -954,6 +976,8 @@
     check(len(names) > 12, names)
     async with Fleet(vms=2, upstreams=2) as fleet:
         vm = fleet.vms[0]
+        await fleet.configure(
+            [*default_resources(), route("once", "/once/", "desk", max_attempts=1)])
         for upstream in fleet.upstreams:
             upstream.fault = lambda headers: "status 000"
         await vm.caller().request("damaged", "/write/x", method="POST")
@@ -962,6 +986,13 @@
             upstream.fault = lambda headers: "error"
         await vm.caller().request("denied", "/read/x")
         await asyncio.sleep(RETRY_WINDOW_S)
+        for upstream in fleet.upstreams:
+            upstream.fault = None
+        for number in range(8):
+            await vm.caller().request(f"kept{number}", "/once/x")
+        for upstream in fleet.upstreams:
+            upstream.fault = lambda headers: "reset"
+        await vm.caller().request("unexplained", "/once/reset")
         for upstream in fleet.upstreams:
             upstream.fault = lambda headers: "endless_body"
         leaving = vm.caller()
--- a/tests/edge_policy_test.cpp
+++ b/tests/edge_policy_test.cpp
@@ -5,6 +5,7 @@
 #include "load_balancer.hpp"
 #include "peer_table.hpp"
 #include "policy_index.hpp"
+#include "suspect_requests.hpp"
 #include "upstream_directory.hpp"
 
 #include <doctest/doctest.h>
@@ -692,6 +693,27 @@
     CHECK(peer.last_change() == log_position{0, 7});
 }
 
+TEST_CASE("an unexplained reset makes a request suspect at all VMs")
+{
+    // Nobody counted a crash after which no retry told it from the reset of an
+    // idle connection, so the request crashed upstreams again and again.
+    suspect_requests own;
+    suspect_requests other;
+    own.report_reset(at(0ms), "digest");
+    auto const updates = own.collect_updates(at(1ms));
+    REQUIRE(updates.size() == 1);
+    CHECK(own.collect_updates(at(2ms)).empty());
+    other.receive(at(2ms), updates);
+    CHECK(other.is_suspect(at(3ms), "digest"));
+    // Idle connections that upstreams close do not make a request refused.
+    other.report_reset(at(4ms), "digest");
+    other.report_reset(at(5ms), "digest");
+    CHECK(!other.is_refused(at(6ms), "digest"));
+    other.report_crash(at(7ms), "digest");
+    other.report_crash(at(8ms), "digest");
+    CHECK(other.is_refused(at(9ms), "digest"));
+}
+
 TEST_CASE("gossip messages survive encoding and malformed bytes are rejected")
 {
     gossip_message message;
