--- a/src/edge_session.hpp
+++ b/src/edge_session.hpp
@@ -89,8 +89,8 @@
     input_buffer m_input;
     timer m_timer;
     std::uint64_t m_timer_generation = 0;
-    time_point
-        m_response_deadline{}; ///< the epoch before a request is admitted
+    /// Of the admitted request in progress; the epoch if there is none.
+    time_point m_response_deadline{};
     bool m_is_idle = false;
     bool m_is_timed_out = false;
     bool m_is_out_of_space = false; ///< the last read had no buffer space
--- a/src/types.hpp
+++ b/src/types.hpp
@@ -135,8 +135,8 @@
     friend bool operator==(evidence const&, evidence const&) = default;
 };
 
-/// Digest of a request that was in flight when upstreams crashed, and how
-/// often.
+/// Digest of a request, and at how many upstream crashes it was in flight; 0
+/// after a reset that may have been a crash.
 struct suspect_request
 {
     std::string m_digest; ///< SHA-256 of account, method, path and body
--- a/src/upstream_directory.hpp
+++ b/src/upstream_directory.hpp
@@ -5,9 +5,9 @@
 /// change carries its position in the store, so that a peer can fetch only the
 /// changes after the last one it has applied. An upstream's own announcements
 /// are ordered by its start time and sequence number, since the store can
-/// execute a write late. When the store returns from an
-/// older copy, a snapshot of the later era replaces the positions, and what was
-/// known of each upstream remains known. Does no I/O and reads no clock.
+/// execute a write late. When the store returns from an older copy, a snapshot
+/// of the later era replaces the positions, and what was known of each upstream
+/// remains known. Does no I/O and reads no clock.
 
 #include "fleet_policy.hpp"
 #include "fleet_store.hpp"
