--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -8,6 +8,7 @@
 import functools
 import os
 import shutil
+import signal
 import socket
 import sys
 import time
@@ -75,6 +76,10 @@
 
 
 async def run_timed(case, record):
+    """A signal ends the case as a timeout does: with all processes that it started."""
+    running = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, running.cancel)
     return await asyncio.wait_for(case(record), CASE_TIMEOUT_S)
 
 
@@ -98,7 +103,7 @@
         if self.fleet.heartbeats:
             self.fleet.heartbeats.cancel()
         for vm in self.fleet.vms:
-            vm.signal(18)  # SIGCONT
+            vm.signal(signal.SIGCONT)
             await vm.kill()
         for upstream in self.fleet.upstreams:
             upstream.stop()
@@ -112,7 +117,7 @@
     record.write(f"the disruption is {'on' if HAS_TROUBLE else 'off'}")
     try:
         breaks = asyncio.run(run_timed(case, record))
-    except Exception as error:  # pylint: disable=broad-except
+    except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
         record.write(f"could not run: {type(error).__name__}: {error}")
         print(f"could not run: {type(error).__name__}: {error}")
         sys.exit(NOT_RUN)
