Identify upstreams and accounts by hashes of 64 bits

An upstream's tag, the 32-bit hash of its id and start time, was the key of its state in the load balancer. Of two upstreams with one tag the later one replaced the other, and the other's service still named the tag.

Tags keep the former hash as their upper half and get 32 bits of another one. Messages carry the second half in a new field, so processes of earlier versions read and send what they did; a tag without it stands for all that begin with it. Ruled out: a stale directory or a reused address, since the request names the joining upstream, which accepts it.

--- a/src/fleet_rate_limiter.cpp
+++ b/src/fleet_rate_limiter.cpp
@@ -1,6 +1,7 @@
 #include "fleet_rate_limiter.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace briarhub
 {
@@ -55,21 +56,20 @@
 void fleet_rate_limiter::set_accounts(
     time_point now, std::vector<account_policy> const& accounts)
 {
-    std::unordered_map<account_tag, shared_bucket> buckets;
+    account_map buckets;
     for (auto const& account : accounts)
     {
-        auto const tag = short_hash(account.m_name);
+        auto const tag = wide_hash(account.m_name);
         auto const existing = m_accounts.find(tag);
         if (existing == m_accounts.end())
         {
             shared_bucket new_bucket{
                 now, limits_of(account), account.m_burst * initial_burst_share};
             new_bucket.set_share(now, m_view.share());
-            auto const snapshot = m_snapshot_levels.find(tag);
-            if (snapshot != m_snapshot_levels.end() &&
-                now - m_started <= level_import_period)
+            auto const snapshot = snapshot_level(tag);
+            if (snapshot && now - m_started <= level_import_period)
             {
-                new_bucket.set_level(now, snapshot->second);
+                new_bucket.set_level(now, *snapshot);
             }
             buckets.emplace(tag, new_bucket);
             continue;
@@ -95,7 +95,7 @@
 
 bool fleet_rate_limiter::try_admit(time_point now, account_name const& account)
 {
-    auto const tag = short_hash(account);
+    auto const tag = wide_hash(account);
     auto const found = m_accounts.find(tag);
     if (found != m_accounts.end() && !found->second.try_consume(now))
     {
@@ -109,7 +109,7 @@
 duration fleet_rate_limiter::admission_wait(
     time_point now, account_name const& account) const
 {
-    auto const found = m_accounts.find(short_hash(account));
+    auto const found = m_accounts.find(wide_hash(account));
     return found == m_accounts.end() ? duration{}
                                      : found->second.time_until(now);
 }
@@ -174,11 +174,14 @@
     {
         bool const is_first =
             m_snapshot_levels.try_emplace(level.m_tag, level.m_tokens).second;
-        auto const found = m_accounts.find(level.m_tag);
-        if (is_first && found != m_accounts.end())
+        if (!is_first)
         {
-            auto const own = static_cast<double>(m_own_totals[level.m_tag]);
-            found->second.set_level(now, level.m_tokens - own);
+            continue;
+        }
+        for (auto& [tag, bucket] : accounts_of(level.m_tag))
+        {
+            auto const own = static_cast<double>(m_own_totals[tag]);
+            bucket.set_level(now, level.m_tokens - own);
         }
     }
 }
@@ -186,11 +189,34 @@
 void fleet_rate_limiter::apply_remote(
     time_point now, account_tag account, std::uint64_t amount)
 {
-    auto const found = m_accounts.find(account);
-    if (found != m_accounts.end())
+    for (auto& [tag, bucket] : accounts_of(account))
+    {
+        bucket.consume_admitted(now, static_cast<double>(amount));
+    }
+}
+
+/// The account of a peer's tag, or all that a short one stands for: a process
+/// that sends those counts the accounts together.
+fleet_rate_limiter::account_range
+fleet_rate_limiter::accounts_of(account_tag received)
+{
+    constexpr std::uint32_t last_check =
+        std::numeric_limits<std::uint32_t>::max();
+    auto const last = is_short(received)
+                          ? join_hash(short_part(received), last_check)
+                          : received;
+    return {m_accounts.lower_bound(received), m_accounts.upper_bound(last)};
+}
+
+std::optional<double> fleet_rate_limiter::snapshot_level(account_tag tag) const
+{
+    auto found = m_snapshot_levels.find(tag);
+    if (found == m_snapshot_levels.end())
     {
-        found->second.consume_admitted(now, static_cast<double>(amount));
+        found = m_snapshot_levels.find(join_hash(short_part(tag), 0));
     }
+    return found == m_snapshot_levels.end() ? std::nullopt
+                                            : std::optional{found->second};
 }
 
 std::vector<usage_count> fleet_rate_limiter::collect_totals(bool all)
--- a/src/fleet_rate_limiter.hpp
+++ b/src/fleet_rate_limiter.hpp
@@ -9,10 +9,13 @@
 #include "shared_bucket.hpp"
 #include "tags.hpp"
 
+#include <boost/range/iterator_range.hpp>
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -108,12 +111,17 @@
         std::map<account_tag, std::uint64_t> m_totals;
     };
 
+    using account_map = std::map<account_tag, shared_bucket>;
+    using account_range = boost::iterator_range<account_map::iterator>;
+
     void
     apply_remote(time_point now, account_tag account, std::uint64_t amount);
+    [[nodiscard]] account_range accounts_of(account_tag received);
+    [[nodiscard]] std::optional<double> snapshot_level(account_tag tag) const;
 
     time_point m_started;
     fleet_view m_view;
-    std::unordered_map<account_tag, shared_bucket> m_accounts;
+    account_map m_accounts;
     /// The first level received from a peer.
     std::map<account_tag, double> m_snapshot_levels;
     std::map<account_tag, std::uint64_t> m_own_totals;
--- a/src/gossip_message.cpp
+++ b/src/gossip_message.cpp
@@ -56,7 +56,8 @@
 void write(wire::Gossip& to, upstream_update const& from)
 {
     auto& added = *to.add_upstreams();
-    added.set_upstream(from.m_upstream);
+    added.set_upstream(short_part(from.m_upstream));
+    added.set_upstream_check(check_part(from.m_upstream));
     added.set_in_flight(from.m_in_flight);
     added.set_started(from.m_started);
     if (from.m_rate_limit)
@@ -80,7 +81,7 @@
 std::optional<upstream_update> read(wire::UpstreamNews const& from)
 {
     upstream_update update;
-    update.m_upstream = from.upstream();
+    update.m_upstream = join_hash(from.upstream(), from.upstream_check());
     update.m_in_flight = from.in_flight();
     update.m_started = std::min(from.started(), max_count_per_update);
     if (from.has_rate_limit_milli())
@@ -103,13 +104,15 @@
 void write(wire::Gossip& to, usage_count const& from)
 {
     auto& added = *to.add_usage();
-    added.set_tag(from.m_tag);
+    added.set_tag(short_part(from.m_tag));
+    added.set_tag_check(check_part(from.m_tag));
     added.set_total(from.m_total);
 }
 
 void write(wire::UpstreamBelief& to, upstream_estimate const& from)
 {
-    to.set_upstream(from.m_upstream);
+    to.set_upstream(short_part(from.m_upstream));
+    to.set_upstream_check(check_part(from.m_upstream));
     to.set_sickness_permille(
         static_cast<std::uint32_t>(from.m_failure_probability * permille));
     to.set_is_leaving(from.m_is_leaving);
@@ -118,7 +121,7 @@
 upstream_estimate read(wire::UpstreamBelief const& from)
 {
     return {
-        from.upstream(),
+        join_hash(from.upstream(), from.upstream_check()),
         std::min(from.sickness_permille() / permille, 1.0),
         from.is_leaving()};
 }
@@ -134,7 +137,8 @@
     for (auto const& level : from.m_levels)
     {
         auto& added = *to.add_levels();
-        added.set_tag(level.m_tag);
+        added.set_tag(short_part(level.m_tag));
+        added.set_tag_check(check_part(level.m_tag));
         added.set_tokens(static_cast<std::int32_t>(std::floor(level.m_tokens)));
     }
     for (auto const& suspect : from.m_known_suspects)
@@ -178,7 +182,8 @@
     }
     for (auto const& item : from.usage())
     {
-        to.m_usage.push_back({item.tag(), item.total()});
+        to.m_usage.push_back(
+            {join_hash(item.tag(), item.tag_check()), item.total()});
     }
     for (auto const& item : from.suspects())
     {
@@ -186,7 +191,9 @@
     }
     for (auto const& item : from.levels())
     {
-        to.m_levels.push_back({item.tag(), static_cast<double>(item.tokens())});
+        to.m_levels.push_back(
+            {join_hash(item.tag(), item.tag_check()),
+             static_cast<double>(item.tokens())});
     }
     for (auto const& item : from.known_suspects())
     {
--- a/src/load_balancer.cpp
+++ b/src/load_balancer.cpp
@@ -94,7 +94,7 @@
 
 upstream_tag tag_of(upstream_entry const& entry)
 {
-    return short_hash(
+    return wide_hash(
         entry.m_upstream.m_id + '@' + std::to_string(entry.m_start_time));
 }
 
@@ -167,7 +167,11 @@
         false,
         false,
         false};
-    auto const found = m_imported.find(tag);
+    auto found = m_imported.find(tag);
+    if (found == m_imported.end())
+    {
+        found = m_imported.find(join_hash(short_part(tag), 0));
+    }
     if (found == m_imported.end())
     {
         return added;
@@ -225,6 +229,42 @@
     return unlisted == m_unlisted.end() ? nullptr : &unlisted->second.m_state;
 }
 
+/// Applies the function to the state of a peer's tag, or to each state that a
+/// short one stands for. False if there is none.
+bool load_balancer::update_states(
+    upstream_tag received, std::function<void(upstream_state&)> const& update)
+{
+    if (!is_short(received))
+    {
+        auto* const state = find_state(received);
+        if (state != nullptr)
+        {
+            update(*state);
+        }
+        return state != nullptr;
+    }
+    bool is_found = false;
+    auto const has_short_part = [received](upstream_tag tag)
+    {
+        return short_part(tag) == short_part(received);
+    };
+    for (auto item = m_slots.lower_bound(received);
+         item != m_slots.end() && has_short_part(item->first);
+         ++item)
+    {
+        update(item->second);
+        is_found = true;
+    }
+    for (auto item = m_unlisted.lower_bound(received);
+         item != m_unlisted.end() && has_short_part(item->first);
+         ++item)
+    {
+        update(item->second.m_state);
+        is_found = true;
+    }
+    return is_found;
+}
+
 std::optional<upstream_choice>
 load_balancer::select_upstream(time_point now, selection_context const& request)
 {
@@ -900,40 +940,48 @@
 {
     for (auto const& item : update)
     {
-        auto* const state = find_state(item.m_upstream);
-        if (state == nullptr)
-        {
-            // The peer has the entry of a new upstream earlier than this VM.
-            if (item.m_is_leaving)
+        bool const is_known = update_states(
+            item.m_upstream,
+            [&](upstream_state& entry)
             {
-                m_imported[item.m_upstream].m_as_of = now;
-                m_imported[item.m_upstream].m_is_leaving = true;
-            }
-            continue;
-        }
-        auto& entry = *state;
-        if (item.m_is_leaving)
-        {
-            set_leaving(entry);
-        }
-        auto& load = entry.m_peers[from];
-        if (sequence >= load.m_sequence)
+                apply_update(now, from, sequence, item, entry);
+            });
+        // The peer has the entry of a new upstream earlier than this VM.
+        if (!is_known && item.m_is_leaving)
         {
-            load = {item.m_in_flight, sequence, now};
+            m_imported[item.m_upstream].m_as_of = now;
+            m_imported[item.m_upstream].m_is_leaving = true;
         }
-        if (item.m_rate_limit)
-        {
-            entry.m_rate_limiter.set(
-                now, *item.m_rate_limit, m_reachable_share);
-        }
-        entry.m_rate_limiter.record_remote_requests(now, item.m_started);
-        for (std::size_t i = 0; i < observation_kinds; ++i)
+    }
+}
+
+void load_balancer::apply_update(
+    time_point now,
+    vm_tag from,
+    std::uint64_t sequence,
+    upstream_update const& update,
+    upstream_state& entry)
+{
+    if (update.m_is_leaving)
+    {
+        set_leaving(entry);
+    }
+    auto& load = entry.m_peers[from];
+    if (sequence >= load.m_sequence)
+    {
+        load = {update.m_in_flight, sequence, now};
+    }
+    if (update.m_rate_limit)
+    {
+        entry.m_rate_limiter.set(now, *update.m_rate_limit, m_reachable_share);
+    }
+    entry.m_rate_limiter.record_remote_requests(now, update.m_started);
+    for (std::size_t i = 0; i < observation_kinds; ++i)
+    {
+        for (std::uint32_t n = 0; n < update.m_observations[i]; ++n)
         {
-            for (std::uint32_t n = 0; n < item.m_observations[i]; ++n)
-            {
-                entry.m_upstream.observe(now, static_cast<observation>(i));
-                record_observation(now, entry, static_cast<observation>(i));
-            }
+            entry.m_upstream.observe(now, static_cast<observation>(i));
+            record_observation(now, entry, static_cast<observation>(i));
         }
     }
 }
@@ -959,22 +1007,22 @@
     {
         m_imported[estimate.m_upstream] = {
             as_of, estimate.m_failure_probability, estimate.m_is_leaving};
-        auto* const entry = find_state(estimate.m_upstream);
-        if (entry == nullptr)
-        {
-            continue;
-        }
-        if (estimate.m_is_leaving)
-        {
-            set_leaving(*entry);
-        }
-        if (!entry->m_has_observations)
-        {
-            entry->m_upstream = failure_estimator{
-                upstream_transition_rates,
-                as_of,
-                estimate.m_failure_probability};
-        }
+        update_states(
+            estimate.m_upstream,
+            [&](upstream_state& entry)
+            {
+                if (estimate.m_is_leaving)
+                {
+                    set_leaving(entry);
+                }
+                if (!entry.m_has_observations)
+                {
+                    entry.m_upstream = failure_estimator{
+                        upstream_transition_rates,
+                        as_of,
+                        estimate.m_failure_probability};
+                }
+            });
     }
 }
 
--- a/src/load_balancer.hpp
+++ b/src/load_balancer.hpp
@@ -364,6 +364,15 @@
     static void record_observation(
         time_point now, upstream_state& entry, observation observed);
     [[nodiscard]] upstream_state* find_state(upstream_tag target);
+    bool update_states(
+        upstream_tag received,
+        std::function<void(upstream_state&)> const& update);
+    void apply_update(
+        time_point now,
+        vm_tag from,
+        std::uint64_t sequence,
+        upstream_update const& update,
+        upstream_state& entry);
     [[nodiscard]] upstream_state
     make_state(time_point now, upstream_tag tag, upstream_entry const& entry);
     void retain_unlisted(
--- a/tests/edge_policy_test.cpp
+++ b/tests/edge_policy_test.cpp
@@ -384,10 +384,10 @@
     account.m_burst = 100;
     limiter.set_accounts(at(0ms), {account});
     limiter.set_view(at(0ms), {2, 2});
-    limiter.import_levels(at(0ms), {{short_hash("acme"), 50.0}});
+    limiter.import_levels(at(0ms), {{wide_hash("acme"), 50.0}});
     auto const total = [](std::uint64_t count)
     {
-        return std::vector<usage_count>{{short_hash("acme"), count}};
+        return std::vector<usage_count>{{wide_hash("acme"), count}};
     };
     limiter.receive(at(10s), {1, 7, 12s}, total(10));
     limiter.receive(at(10s), {1, 7, 12s}, total(10));
@@ -853,11 +853,11 @@
     account.m_burst = 50;
     limiter.set_accounts(at(0ms), {account});
     limiter.set_view(at(0ms), {36, 36});
-    limiter.import_levels(at(0ms), {{short_hash("acme"), 25.0}});
+    limiter.import_levels(at(0ms), {{wide_hash("acme"), 25.0}});
     for (vm_tag peer = 1; peer <= 35; ++peer)
     {
         limiter.receive(
-            at(10ms), {peer, 1, 60s}, {{short_hash("acme"), 5 + peer}});
+            at(10ms), {peer, 1, 60s}, {{wide_hash("acme"), 5 + peer}});
     }
     int admitted = 0;
     for (int i = 0; i < 20; ++i)
@@ -866,8 +866,8 @@
     }
     CHECK(admitted == 20);
     // Later usage of a known peer counts, also in its next run.
-    limiter.receive(at(1s), {1, 1, 61s}, {{short_hash("acme"), 46}});
-    limiter.receive(at(1s), {1, 2, 0s}, {{short_hash("acme"), 15}});
+    limiter.receive(at(1s), {1, 1, 61s}, {{wide_hash("acme"), 46}});
+    limiter.receive(at(1s), {1, 2, 0s}, {{wide_hash("acme"), 15}});
     int remaining = 0;
     while (limiter.try_admit(at(1s), "acme"))
     {
