Ask peers for recent removals when a process starts

The store had executed an earlier heartbeat after the removal. What tells such a late write is the last announcement before the removal; the newest records of the store have no removals, so a process that starts does not know it.

Evidence: replication_test test_late_write_after_a_start and test_late_write_before_a_start failed on the untouched code. There the log of the restarted VM has one upstream more and no rejection, those of its peers have "announced before its removal". Ruled out: peers that took the entry back, and a first read before the removal (it had three upstreams).

A process that starts asks two peers for the removals of the last 30 s with the last announcement before each, once early and once when every peer must know what was removed before the start.

--- a/src/state_sync.cpp
+++ b/src/state_sync.cpp
@@ -76,6 +76,9 @@
 constexpr milliseconds min_fetch_backoff{50};
 constexpr milliseconds max_fetch_backoff{800};
 
+/// Peers that are asked in turn until one replies. Seeds are three at the most.
+constexpr std::size_t max_peers_asked = 4;
+
 constexpr std::string_view state_path = "/state";
 
 bool is_recent(
@@ -114,6 +117,39 @@
 /// Interval of fetches from the seeds while no state is known.
 constexpr milliseconds seed_interval{400};
 
+void write_directory(
+    wire::StateReply& reply, upstream_directory::change_set const& update)
+{
+    reply.set_is_whole_directory(update.m_is_snapshot);
+    reply.set_directory_change(update.m_last_change.m_offset);
+    reply.set_directory_era(update.m_last_change.m_era);
+    for (auto const& record : update.m_records)
+    {
+        auto& added = *reply.add_records();
+        added.set_key(record.m_key);
+        added.set_value(record.m_value);
+        added.set_is_removed(record.m_is_removed);
+        added.set_offset(record.m_position.m_offset);
+        added.set_era(record.m_position.m_era);
+    }
+}
+
+upstream_directory::change_set read_directory(wire::StateReply const& state)
+{
+    upstream_directory::change_set update;
+    update.m_is_snapshot = state.is_whole_directory();
+    update.m_last_change = {state.directory_era(), state.directory_change()};
+    for (auto const& record : state.records())
+    {
+        update.m_records.push_back(
+            {record.key(),
+             record.value(),
+             record.is_removed(),
+             {record.era(), record.offset()}});
+    }
+    return update;
+}
+
 } // namespace
 
 state_sync::state_sync(
@@ -160,6 +196,7 @@
     asio::co_spawn(m_io, poll_upstreams(), asio::detached);
     asio::co_spawn(m_io, join_fleet(), asio::detached);
     asio::co_spawn(m_io, fetch_from_seeds(), asio::detached);
+    asio::co_spawn(m_io, learn_departures(), asio::detached);
 }
 
 void state_sync::stop()
@@ -187,6 +224,15 @@
     }
 }
 
+/// Where the process of a VM serves its peers: all use one port.
+endpoint_address
+state_sync::peer_endpoint(asio::ip::address_v4 const& address) const
+{
+    auto const own = split_endpoint(m_options.m_peer_listen);
+    auto const port = own ? own->m_port : std::uint16_t{0};
+    return address.to_string() + ':' + std::to_string(port);
+}
+
 asio::awaitable<void> state_sync::pause(duration length)
 {
     timer alarm{m_io, length};
@@ -271,6 +317,7 @@
         co_return false;
     }
     members_event members;
+    m_listed_peers.clear();
     bool is_registered = false;
     for (auto const& record : std::get<store_page>(result).m_records)
     {
@@ -289,6 +336,7 @@
         {
             members.m_members.push_back(
                 {address.to_uint(), short_hash(*record.m_value)});
+            m_listed_peers.push_back(peer_endpoint(address));
             is_registered = is_registered ||
                             (record.m_key == m_options.m_ip &&
                              *record.m_value == m_options.m_failure_domain);
@@ -818,19 +866,50 @@
     {
         co_return;
     }
-    auto peers = m_options.m_seeds;
+    co_await fetch_from_one(m_options.m_seeds, directory_request::whole);
+    m_is_fetching_lost = false;
+}
+
+/// The newest records of the store have no removals, and the store can execute
+/// an announcement after the removal of its upstream. So a process that starts
+/// asks what its peers know: at once, and again when they must all know what
+/// was removed before its start.
+asio::awaitable<void> state_sync::learn_departures()
+{
+    co_await pause(seed_interval);
+    fetch_departures();
+    co_await pause(m_options.m_upstream_update_limit);
+    fetch_departures();
+}
+
+/// Asks a seed and a listed VM: one of them may have started a short time ago,
+/// too, and VMs stay listed when they are gone.
+void state_sync::fetch_departures()
+{
+    for (auto const& peers : {m_options.m_seeds, m_listed_peers})
+    {
+        asio::co_spawn(
+            m_io,
+            fetch_from_one(peers, directory_request::departures),
+            asio::detached);
+    }
+}
+
+/// Asks the peers in a random order until one replies, a few at the most.
+asio::awaitable<void> state_sync::fetch_from_one(
+    std::vector<endpoint_address> peers, directory_request wanted)
+{
     std::erase(peers, m_options.m_peer_listen);
     std::ranges::shuffle(peers, m_random);
+    peers.resize(std::min(peers.size(), max_peers_asked));
     for (auto const& peer : peers)
     {
-        bool const is_fetched =
-            co_await fetch_state(peer, directory_request::whole);
-        if (is_fetched)
+        bool const is_fetched = co_await fetch_state(peer, wanted);
+        if (is_fetched || m_is_stopped)
         {
-            break;
+            co_return;
         }
     }
-    m_is_fetching_lost = false;
 }
 
 bool state_sync::is_behind(replica_status const& other) const
@@ -867,16 +946,13 @@
     {
         co_await pause(cross_domain_fetch_delay);
     }
-    auto const own = split_endpoint(m_options.m_peer_listen);
-    if (own && is_behind(peer.m_state))
+    if (is_behind(peer.m_state))
     {
         auto const wanted = wants_directory_of(peer.m_state)
                                 ? directory_request::changes
                                 : directory_request::none;
         bool const is_successful = co_await fetch_state(
-            asio::ip::address_v4{peer.m_vm}.to_string() + ':' +
-                std::to_string(own->m_port),
-            wanted);
+            peer_endpoint(asio::ip::address_v4{peer.m_vm}), wanted);
         record_fetch_result(is_successful);
     }
     --m_running_fetches;
@@ -913,7 +989,10 @@
     request.set_policy_end(m_orders.position().m_offset);
     request.set_directory_change(known.m_offset);
     request.set_directory_era(known.m_era);
-    request.set_policy_only(wanted == directory_request::none);
+    bool const wants_departures = wanted == directory_request::departures;
+    request.set_policy_only(
+        wanted == directory_request::none || wants_departures);
+    request.set_departures(wants_departures);
     auto const reply = co_await m_client.request(
         peer,
         std::string{state_path},
@@ -966,46 +1045,61 @@
     {
         apply_compressed_policy(peer, state);
     }
-    upstream_directory::change_set update;
-    update.m_is_snapshot = state.is_whole_directory();
-    update.m_last_change = {state.directory_era(), state.directory_change()};
-    for (auto const& record : state.records())
+    auto const update = read_directory(state);
+    if (state.is_departures())
     {
-        update.m_records.push_back(
-            {record.key(),
-             record.value(),
-             record.is_removed(),
-             {record.era(), record.offset()}});
+        if (!update.m_records.empty())
+        {
+            adopt_lost(peer, "departures_fetched", update);
+        }
     }
-    auto const known = m_directory.last_change();
-    bool const is_first = known == log_position{};
-    if (update.m_last_change > known)
+    else if (update.m_last_change > m_directory.last_change())
     {
-        auto const now = runtime_clock::now();
-        record_outage_end(now);
-        set_era(update.m_last_change.m_era, peer);
-        bool const is_changed = m_directory.adopt(now, update);
-        record_directory_era();
-        m_events.write(
-            "upstreams_fetched",
-            {{"peer", peer},
-             {"whole", update.m_is_snapshot},
-             {"records", update.m_records.size()},
-             {"known", to_json(known)},
-             {"position", to_json(m_directory.last_change())}});
-        publish_directory(is_changed || is_first);
+        adopt_directory(peer, update);
     }
     else if (update.m_is_snapshot)
     {
-        bool const is_changed =
-            m_directory.adopt_lost(runtime_clock::now(), update);
-        m_events.write(
-            "lost_fetched", {{"peer", peer}, {"changed", is_changed}});
-        publish_directory(is_changed);
+        adopt_lost(peer, "lost_fetched", update);
     }
     publish_status();
 }
 
+void state_sync::adopt_directory(
+    endpoint_address const& peer, upstream_directory::change_set const& update)
+{
+    auto const now = runtime_clock::now();
+    auto const known = m_directory.last_change();
+    bool const is_first = known == log_position{};
+    record_outage_end(now);
+    set_era(update.m_last_change.m_era, peer);
+    bool const is_changed = m_directory.adopt(now, update);
+    record_directory_era();
+    m_events.write(
+        "upstreams_fetched",
+        {{"peer", peer},
+         {"whole", update.m_is_snapshot},
+         {"records", update.m_records.size()},
+         {"known", to_json(known)},
+         {"position", to_json(m_directory.last_change())}});
+    publish_directory(is_changed || is_first);
+}
+
+/// Adopts what the store does not have. `event` is the line of the log.
+void state_sync::adopt_lost(
+    endpoint_address const& peer,
+    std::string_view event,
+    upstream_directory::change_set const& update)
+{
+    bool const is_changed =
+        m_directory.adopt_lost(runtime_clock::now(), update);
+    m_events.write(
+        event,
+        {{"peer", peer},
+         {"records", update.m_records.size()},
+         {"changed", is_changed}});
+    publish_directory(is_changed);
+}
+
 std::optional<std::string> state_sync::handle_request(
     std::string_view path, std::string_view message) const
 {
@@ -1038,21 +1132,14 @@
     }
     log_position const known{
         request.directory_era(), request.directory_change()};
-    if (!request.policy_only() && m_directory.last_change() > known)
+    if (request.departures())
     {
-        auto const update = m_directory.changes_since(known);
-        reply.set_is_whole_directory(update.m_is_snapshot);
-        reply.set_directory_change(update.m_last_change.m_offset);
-        reply.set_directory_era(update.m_last_change.m_era);
-        for (auto const& record : update.m_records)
-        {
-            auto& added = *reply.add_records();
-            added.set_key(record.m_key);
-            added.set_value(record.m_value);
-            added.set_is_removed(record.m_is_removed);
-            added.set_offset(record.m_position.m_offset);
-            added.set_era(record.m_position.m_era);
-        }
+        reply.set_is_departures(true);
+        write_directory(reply, m_directory.departures(runtime_clock::now()));
+    }
+    else if (!request.policy_only() && m_directory.last_change() > known)
+    {
+        write_directory(reply, m_directory.changes_since(known));
     }
     return reply.SerializeAsString();
 }
--- a/src/state_sync.hpp
+++ b/src/state_sync.hpp
@@ -15,6 +15,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address_v4.hpp>
 
 #include <functional>
 #include <memory>
@@ -130,18 +131,25 @@
     boost::asio::awaitable<bool> read_upstreams_once();
     boost::asio::awaitable<void> fetch_from_seeds();
     boost::asio::awaitable<void> fetch_lost();
+    boost::asio::awaitable<void> learn_departures();
+    void fetch_departures();
     boost::asio::awaitable<void> fetch_newer_state(newer_peer peer);
     /// What a state request asks for besides a newer policy.
     enum class directory_request
     {
         none,
-        changes, ///< since this VM's last change
-        whole    ///< with all known removals
+        changes,    ///< since this VM's last change
+        whole,      ///< with all known removals
+        departures, ///< only what a process that starts cannot read
     };
+    boost::asio::awaitable<void> fetch_from_one(
+        std::vector<endpoint_address> peers, directory_request wanted);
     boost::asio::awaitable<bool>
     fetch_state(endpoint_address peer, directory_request wanted);
     void record_fetch_result(bool is_successful);
     boost::asio::awaitable<void> pause(duration length);
+    [[nodiscard]] endpoint_address
+    peer_endpoint(boost::asio::ip::address_v4 const& address) const;
     boost::asio::awaitable<void> wait_for_role(timer& alarm);
 
     void apply_policy(
@@ -159,6 +167,13 @@
     void schedule_removals();
     void
     apply_state_reply(endpoint_address const& peer, std::string_view reply);
+    void adopt_directory(
+        endpoint_address const& peer,
+        upstream_directory::change_set const& update);
+    void adopt_lost(
+        endpoint_address const& peer,
+        std::string_view event,
+        upstream_directory::change_set const& update);
     [[nodiscard]] std::optional<std::string>
     handle_request(std::string_view path, std::string_view message) const;
     [[nodiscard]] bool is_behind(replica_status const& other) const;
@@ -195,6 +210,7 @@
     std::optional<store_era> m_era; ///< the highest known
     store_era m_directory_era = 0;  ///< of the last logged directory
     std::optional<time_point> m_registered_at;
+    std::vector<endpoint_address> m_listed_peers; ///< registered in the store
     std::mt19937_64 m_random;
     store_reader_role m_role;
     replica_status m_status;
--- a/src/upstream_directory.cpp
+++ b/src/upstream_directory.cpp
@@ -155,11 +155,13 @@
     {
         ++m_outdated;
         record_removal(
+            now,
             record.m_key,
             {record.m_position,
              value.m_start_time,
              value.m_sequence,
              record.m_value,
+             {},
              {}});
         return false;
     }
@@ -344,7 +346,7 @@
         {
             renew_removal(known->second, removal.m_position);
         }
-        remember_removal(removal);
+        remember_removal(now, removal);
         return false;
     }
     auto& entry = existing->second;
@@ -372,10 +374,11 @@
         entry.m_value.m_start_time,
         entry.m_value.m_sequence,
         std::move(entry.m_encoded_value),
-        entry.m_position};
+        entry.m_position,
+        {}};
     m_entries.erase(existing);
-    record_removal(removal.m_key, std::move(removed));
-    remember_removal(removal);
+    record_removal(now, removal.m_key, std::move(removed));
+    remember_removal(now, removal);
     return true;
 }
 
@@ -422,7 +425,8 @@
 
 /// Keeps the last announcement that a peer knew of a removed upstream: a VM
 /// that does not read the store knows only those that changed something.
-void upstream_directory::remember_removal(directory_record const& removal)
+void upstream_directory::remember_removal(
+    time_point now, directory_record const& removal)
 {
     if (removal.m_value.empty())
     {
@@ -443,18 +447,21 @@
     if (is_newer)
     {
         record_removal(
+            now,
             removal.m_key,
             {removal.m_position,
              value->m_start_time,
              value->m_sequence,
              removal.m_value,
+             {},
              {}});
     }
 }
 
 void upstream_directory::record_removal(
-    std::string const& key, tombstone removed)
+    time_point now, std::string const& key, tombstone removed)
 {
+    removed.m_recorded = now;
     m_tombstones[key] = std::move(removed);
     if (m_tombstones.size() > max_tombstones)
     {
@@ -629,11 +636,13 @@
         {
             auto& expired = entry->second;
             record_removal(
+                now,
                 entry->first,
                 {expired.m_removal_position,
                  expired.m_value.m_start_time,
                  expired.m_value.m_sequence,
                  std::move(expired.m_encoded_value),
+                 {},
                  {}});
             entry = m_entries.erase(entry);
         }
@@ -707,4 +716,20 @@
     return result;
 }
 
+upstream_directory::change_set
+upstream_directory::departures(time_point now) const
+{
+    change_set result;
+    result.m_last_change = m_last_change;
+    for (auto const& [key, removed] : m_tombstones)
+    {
+        if (now - removed.m_recorded < late_write_period)
+        {
+            result.m_records.push_back(
+                {key, removed.m_encoded_value, true, removed.m_position});
+        }
+    }
+    return result;
+}
+
 } // namespace briarhub
--- a/src/upstream_directory.hpp
+++ b/src/upstream_directory.hpp
@@ -31,6 +31,11 @@
 /// registered again this long after the store recovers is removed.
 inline constexpr std::chrono::milliseconds removal_grace_period{2000};
 
+/// The store can execute a write this long after it was sent, far above the
+/// timeouts of calls. Removals that are older need no comparison with the
+/// announcements of a new process.
+inline constexpr std::chrono::seconds late_write_period{30};
+
 /// A record of the directory as peers send it.
 struct directory_record
 {
@@ -78,8 +83,9 @@
     bool adopt(time_point now, change_set const& peer_changes);
 
     /// Applies what a peer knows of listed upstreams that the store lost when
-    /// it returned: removals, and announcements after those of its copy. Does
-    /// not change `last_change`.
+    /// it returned, or that this process has not seen since it started:
+    /// removals, and announcements after those of the store. Does not change
+    /// `last_change`.
     bool adopt_lost(time_point now, change_set const& peer_changes);
 
     /// Applies a snapshot, which has the latest record of every key before the
@@ -132,6 +138,10 @@
     };
     [[nodiscard]] change_set changes_since(log_position position) const;
 
+    /// What a process that starts cannot read from the store: the removals of
+    /// the last `late_write_period`, with the last announcement before each.
+    [[nodiscard]] change_set departures(time_point now) const;
+
 private:
     struct directory_entry
     {
@@ -155,6 +165,7 @@
         std::string m_encoded_value;  ///< of that announcement
         /// Peers before it, or before the removal, are told of the removal.
         log_position m_change_position;
+        time_point m_recorded{}; ///< when this VM learned of the removal
     };
 
     bool
@@ -197,8 +208,9 @@
     [[nodiscard]] bool is_address_reused(
         directory_record const& record, upstream_entry const& value) const;
     [[nodiscard]] bool is_later_era(log_position position) const;
-    void remember_removal(directory_record const& removal);
-    void record_removal(std::string const& key, tombstone removed);
+    void remember_removal(time_point now, directory_record const& removal);
+    void
+    record_removal(time_point now, std::string const& key, tombstone removed);
     void advance_last_change(log_position position);
     void record_history_gap(log_position begin, log_position end);
     [[nodiscard]] bool has_history_since(log_position position) const;
--- a/tests/edge/replication_test.py
+++ b/tests/edge/replication_test.py
@@ -23,6 +23,9 @@
 # Time after the start until the readers of the store are elected.
 ELECTION_S = 2.0
 
+# Default of `stable_window_ms`: bounds hold for a VM that started before that.
+STABLE_WINDOW_S = 3.0
+
 # Time for which VMs keep upstreams whose entries expired in a store outage.
 REMOVAL_GRACE_S = 2.0
 
@@ -155,6 +158,48 @@
         leaving.stop()
 
 
+async def check_late_write_around_a_start(is_written_first):
+    """Each VM reads the store for its failure domain. One restarts while an
+    upstream leaves, and the store executes an earlier heartbeat late."""
+    async with Fleet(vms=3, upstreams=4, failure_domains=3) as fleet:
+        await asyncio.sleep(ELECTION_S)
+        leaving = fleet.upstreams[0]
+        earlier = leaving.sequence - 1
+        restarted, *others = fleet.vms
+        await restarted.kill()
+        await leave_unannounced(fleet, leaving)
+        await asyncio.sleep(0.8)
+        if is_written_first:
+            await leaving.register(sequence=earlier)
+        restarted.start()
+        await fleet.wait_until(restarted.is_ready)
+        if not is_written_first:
+            await asyncio.sleep(0.8)
+            await leaving.register(sequence=earlier)
+        await asyncio.sleep(STABLE_WINDOW_S)
+        await check_out_of_use(leaving, [restarted])
+        await check_out_of_use(leaving, others)
+        # A later process under the same id is used.
+        leaving.started_ms += 60_000
+        leaving.sequence = 0
+        fleet.upstreams.append(leaving)
+        before = len(leaving.runs)
+        await asyncio.sleep(DRAIN_BOUND_S)
+        await send_requests([restarted], "restarted-", count=60)
+        check(len(leaving.runs) > before, "the upstream that is back got no request")
+
+
+async def test_late_write_after_a_start():
+    """A VM that started after an upstream had left takes a heartbeat that the store
+    executes late for a new upstream, and sends requests to it."""
+    await check_late_write_around_a_start(is_written_first=False)
+
+
+async def test_late_write_before_a_start():
+    """The same if the store has executed the heartbeat before the VM reads it."""
+    await check_late_write_around_a_start(is_written_first=True)
+
+
 async def test_upstreams_that_expired_in_a_store_outage():
     """VMs drop live upstreams whose entries expired in an outage of the store, or
     keep one that has not registered again, at VMs that do not read the store."""
--- a/tests/edge_policy_test.cpp
+++ b/tests/edge_policy_test.cpp
@@ -478,6 +478,42 @@
     }
 }
 
+TEST_CASE("a VM that starts learns of removals that a late write would undo")
+{
+    // The newest records of the store have no removals, so a process that had
+    // just started took a late write for a new upstream until it exited.
+    auto peer = make_directory();
+    apply_one(peer, at(0ms), put("a", "1 5 r", 2));
+    apply_one(peer, at(0ms), put("b", "1 1 r", 3));
+    apply_one(peer, at(0ms), removal("a", 4));
+    auto const departures = peer.departures(at(1s));
+    CHECK(departures.m_records.size() == 1);
+    for (bool const is_written_first : {false, true})
+    {
+        CAPTURE(is_written_first);
+        auto newcomer = make_directory();
+        newcomer.apply_snapshot(
+            at(1s), std::vector{put("b", "1 1 r", 3)}, {0, 5});
+        auto const position = newcomer.last_change();
+        if (is_written_first)
+        {
+            CHECK(apply_one(newcomer, at(1s), put("a", "1 4 r", 5)));
+            CHECK(newcomer.adopt_lost(at(1s), departures));
+        }
+        else
+        {
+            CHECK(!newcomer.adopt_lost(at(1s), departures));
+            CHECK(newcomer.last_change() == position);
+            CHECK(!apply_one(newcomer, at(1s), put("a", "1 4 r", 5)));
+        }
+        CHECK(usable_ids(newcomer) == std::set<upstream_id>{"b"});
+        CHECK(newcomer.departures(at(2s)).m_records.size() == 1);
+        CHECK(apply_one(newcomer, at(2s), put("a", "1 6 r", 6)));
+        CHECK(usable_ids(newcomer) == std::set<upstream_id>{"a", "b"});
+    }
+    CHECK(peer.departures(at(late_write_period)).m_records.empty());
+}
+
 TEST_CASE("a peer drops an entry that only a late write has")
 {
     auto reader = make_directory();
