Tell a process that starts which upstreams are leaving

The newest record of the store can be a heartbeat from before an upstream announced its shutdown, executed late. Peers keep the upstream out of use, since its announcements are ordered by their sequence; a process that starts took it for ready until the next heartbeat.

edge_policy_test "a VM that starts learns that an upstream leaves despite a late write" failed without the change and passes with it. The departures that a process asks its peers for include the entries of leaving upstreams, and such an announcement replaces one of a higher position here.

A first version compared announcements wherever a record has the lower position. It broke "older announcements and stale reads have no effect", so only what a process asks for at its start is compared so.

--- a/src/upstream_directory.cpp
+++ b/src/upstream_directory.cpp
@@ -502,12 +502,43 @@
     {
         bool const is_listed = m_entries.contains(record.m_key);
         bool const is_wanted = record.m_is_removed || is_listed;
-        is_changed = (is_wanted && apply_record(now, record)) || is_changed;
+        bool const is_later = is_listed && adopt_later(now, record);
+        bool const is_applied = is_wanted && apply_record(now, record);
+        is_changed = is_later || is_applied || is_changed;
     }
     m_last_change = last_change;
     return is_changed;
 }
 
+/// Adopts a peer's announcement that is later than the one of a higher position
+/// here, which the store executed late. Returns true if that changes the entry.
+/// Without a start time a late write cannot be told from a restart.
+bool upstream_directory::adopt_later(
+    time_point now, directory_record const& record)
+{
+    auto& entry = m_entries.at(record.m_key);
+    bool const is_earlier_position =
+        record.m_position.m_era == entry.m_position.m_era &&
+        record.m_position < entry.m_position;
+    if (record.m_is_removed || !is_earlier_position)
+    {
+        return false;
+    }
+    auto decoded = m_decode(record.m_key, record.m_value);
+    auto* later = std::get_if<upstream_entry>(&decoded);
+    bool const is_later = later != nullptr && later->m_start_time != 0 &&
+                          supersedes(*later, entry.m_value);
+    if (!is_later)
+    {
+        return false;
+    }
+    bool const is_changed = !is_same_upstream(entry.m_value, *later);
+    entry.m_warm_at = warm_time(now, *later);
+    entry.m_value = std::move(*later);
+    entry.m_encoded_value = record.m_value;
+    return is_changed;
+}
+
 bool upstream_directory::apply_snapshot(
     time_point now, std::span<store_record const> records, log_position end)
 {
@@ -721,6 +752,14 @@
 {
     change_set result;
     result.m_last_change = m_last_change;
+    for (auto const& [key, entry] : m_entries)
+    {
+        if (entry.m_value.m_upstream.m_state == vm_state::leaving)
+        {
+            result.m_records.push_back(
+                {key, entry.m_encoded_value, false, entry.m_position});
+        }
+    }
     for (auto const& [key, removed] : m_tombstones)
     {
         if (now - removed.m_recorded < late_write_period)
--- a/src/upstream_directory.hpp
+++ b/src/upstream_directory.hpp
@@ -138,8 +138,9 @@
     };
     [[nodiscard]] change_set changes_since(log_position position) const;
 
-    /// What a process that starts cannot read from the store: the removals of
-    /// the last `late_write_period`, with the last announcement before each.
+    /// What a process that starts may not read from the store: upstreams that
+    /// are leaving, and the removals of the last `late_write_period`, with the
+    /// last announcement before each.
     [[nodiscard]] change_set departures(time_point now) const;
 
 private:
@@ -176,6 +177,7 @@
         std::span<directory_record const> records,
         log_position last);
     bool remove(time_point now, directory_record const& removal);
+    bool adopt_later(time_point now, directory_record const& record);
     void keep_lost(
         directory_entry& entry,
         directory_record const& record,
--- a/tests/edge_policy_test.cpp
+++ b/tests/edge_policy_test.cpp
@@ -514,6 +514,27 @@
     CHECK(peer.departures(at(late_write_period)).m_records.empty());
 }
 
+TEST_CASE(
+    "a VM that starts learns that an upstream leaves despite a late write")
+{
+    // The newest record of the store can be a heartbeat from before the
+    // upstream announced its shutdown, so a process that had just started sent
+    // requests to it until its next heartbeat.
+    auto peer = make_directory();
+    apply_one(peer, at(0ms), put("a", "1 5 r", 2));
+    apply_one(peer, at(0ms), put("a", "1 6 d", 3));
+    apply_one(peer, at(0ms), put("a", "1 4 r", 4));
+    REQUIRE(peer.usable().empty());
+    auto newcomer = make_directory();
+    newcomer.apply_snapshot(at(1s), std::vector{put("a", "1 4 r", 4)}, {0, 5});
+    REQUIRE(newcomer.usable().size() == 1);
+    CHECK(newcomer.adopt_lost(at(1s), peer.departures(at(1s))));
+    CHECK(newcomer.usable().empty());
+    apply_one(newcomer, at(2s), put("a", "1 7 d", 5));
+    CHECK(newcomer.usable().empty());
+    CHECK(apply_one(newcomer, at(3s), put("a", "2 1 r", 6)));
+}
+
 TEST_CASE("a peer drops an entry that only a late write has")
 {
     auto reader = make_directory();
