Contact peers that were lost in a long partition

A VM removes a peer that is silent for 12 s and sends it nothing more, and the peer does the same. So after a partition that lasted longer the two sides stayed two fleets until a process started, each with the whole rate of every account. The limits on VMs that are cut off make this worse: a side would keep its share only, for 15 minutes.

With each heartbeat one of the lost peers that have not announced their leave gets a join request; its reply names the VMs of its side.

fleet_partition_test "the sides of a partition contact each other after it has lasted" covers the table of peers; without the change there is no call that returns a lost peer. The simulated fleet drops silent peers now, too. Not shown between processes: the tests cannot cut datagrams on loopback.

--- a/src/gossip_service.cpp
+++ b/src/gossip_service.cpp
@@ -186,6 +186,18 @@
     }
 }
 
+/// Sends a join request to a peer that has been silent for long: if a partition
+/// has ended, its reply names the VMs of its side.
+void gossip_service::contact_lost_peer()
+{
+    if (auto const lost = m_peers.sample_lost())
+    {
+        auto message = make_message();
+        message.m_wants_members = true;
+        send(*lost, encode({&message, 1}));
+    }
+}
+
 asio::awaitable<void> gossip_service::receive_loop()
 {
     std::vector<char> buffer(max_datagram_bytes);
@@ -438,6 +450,7 @@
             contact_seeds();
         }
         send_all(message);
+        contact_lost_peer();
         m_heartbeat_timer.expires_after(heartbeat_interval);
         co_await m_heartbeat_timer.async_wait(use_tuple);
     }
--- a/src/gossip_service.hpp
+++ b/src/gossip_service.hpp
@@ -133,6 +133,7 @@
     void share_cold_upstreams(time_point now);
     void save_health_snapshot(time_point now);
     void contact_seeds();
+    void contact_lost_peer();
 
     boost::asio::io_context& m_io;
     std::shared_ptr<edge_state> m_state;
--- a/src/peer_table.cpp
+++ b/src/peer_table.cpp
@@ -222,6 +222,30 @@
     return chosen;
 }
 
+bool peer_table::is_lost(vm_tag vm, share_owner const& owner) const
+{
+    return owner.m_was_heard && !m_peers.contains(vm) &&
+           !m_departed.contains(vm);
+}
+
+std::optional<vm_tag> peer_table::sample_lost()
+{
+    std::vector<vm_tag> lost;
+    for (auto const& [vm, owner] : m_share_owners)
+    {
+        if (is_lost(vm, owner))
+        {
+            lost.push_back(vm);
+        }
+    }
+    if (lost.empty())
+    {
+        return std::nullopt;
+    }
+    std::uniform_int_distribution<std::size_t> pick{0, lost.size() - 1};
+    return lost[pick(m_random)];
+}
+
 std::vector<peer_address> peer_table::members() const
 {
     std::vector<peer_address> list{m_self};
@@ -250,22 +274,19 @@
 {
     fleet_view view;
     std::size_t heard_lately = 1;
-    for (auto const& [vm, owner] : m_share_owners)
+    for (auto const& [vm, entry] : m_peers)
     {
-        auto const found = m_peers.find(vm);
-        bool const is_listed = found != m_peers.end();
-        if (m_departed.contains(vm) || (!is_listed && !owner.m_was_heard))
-        {
-            continue;
-        }
-        ++view.m_known;
-        if (is_listed)
-        {
-            auto const silence = silence_of(now, found->second);
-            view.m_heard += silence < peer_silence_limit ? 1 : 0;
-            heard_lately += silence < report_period ? 1 : 0;
-        }
+        auto const silence = silence_of(now, entry);
+        view.m_heard += silence < peer_silence_limit ? 1 : 0;
+        heard_lately += silence < report_period ? 1 : 0;
     }
+    auto const lost = std::ranges::count_if(
+        m_share_owners,
+        [this](auto const& item)
+        {
+            return is_lost(item.first, item.second);
+        });
+    view.m_known += m_peers.size() + static_cast<std::size_t>(lost);
     bool const is_cut_off = 2 * heard_lately < view.m_known;
     return is_cut_off ? fleet_view{heard_lately, view.m_known} : view;
 }
--- a/src/peer_table.hpp
+++ b/src/peer_table.hpp
@@ -62,6 +62,12 @@
     /// Up to `count` live peers, chosen at random.
     std::vector<vm_tag> sample_live(time_point now, std::size_t count);
 
+    /// One of the share owners that were removed from the table because of
+    /// their silence, at random; nullopt if there is none. After a partition
+    /// that lasted longer than `peer_retention`, no side has the other one in
+    /// its table.
+    std::optional<vm_tag> sample_lost();
+
     [[nodiscard]] std::vector<peer_address> members() const;
 
     /// Number of known VMs, including this one.
@@ -138,6 +144,8 @@
     peer_address m_self;
     std::mt19937_64 m_random;
     std::map<vm_tag, peer> m_peers;
+    [[nodiscard]] bool is_lost(vm_tag vm, share_owner const& owner) const;
+
     std::map<vm_tag, share_owner> m_share_owners;
     std::set<vm_tag> m_departed; ///< share owners that announced their leave
     std::size_t m_reported_size = 0; ///< the largest count of a peer
--- a/tests/fleet_partition_test.cpp
+++ b/tests/fleet_partition_test.cpp
@@ -144,6 +144,7 @@
         {
             return;
         }
+        from.m_peers.remove_expired(at(m_now));
         gossip_message message;
         message.m_origin = {tag_of_vm(index), 1};
         message.m_run = 1;
@@ -284,6 +285,40 @@
     CHECK(refused_share(records, 12500ms, 20s) < 0.01);
 }
 
+TEST_CASE("the sides of a partition contact each other after it has lasted")
+{
+    // Guards against VMs that drop each other while they are cut off and then
+    // stay two fleets, each with the whole rate.
+    peer_table table{{1, 1}, 1};
+    gossip_message message;
+    message.m_run = 1;
+    for (vm_tag vm = 2; vm <= 4; ++vm)
+    {
+        message.m_origin = {vm, 1};
+        message.m_sequence = 1;
+        table.record_message(at(0ms), message);
+    }
+    message.m_origin = {4, 1};
+    message.m_sequence = 2;
+    message.m_is_leaving = true;
+    table.record_message(at(1s), message);
+    CHECK(!table.sample_lost());
+    table.remove_expired(at(20s));
+    CHECK(table.size() == 1);
+    CHECK(table.share_view(at(20s)) == fleet_view{1, 3});
+    auto const lost = table.sample_lost();
+    REQUIRE(lost);
+    CHECK((*lost == 2 || *lost == 3));
+    message.m_origin = {*lost, 1};
+    message.m_sequence = 2;
+    message.m_is_leaving = false;
+    table.record_message(at(21s), message);
+    CHECK(table.share_view(at(21s)) == fleet_view{2, 3});
+    CHECK(table.sample_lost() != lost);
+    table.remove_expired(at(share_retention));
+    CHECK(table.share_view(at(share_retention)).share() > 0.5);
+}
+
 TEST_CASE("a VM that starts has its share before it hears its peers")
 {
     peer_table table{{1, 1}, 1};
